--- a/cmake/BorageslipTargets.cmake
+++ b/cmake/BorageslipTargets.cmake
@@ -1,7 +1,10 @@
 set(BORAGESLIP_SANITIZER "" CACHE STRING "Value for -fsanitize=, empty for none")
 
 add_library(borageslip_options INTERFACE)
-target_compile_options(borageslip_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+target_compile_options(borageslip_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow)
+if(NOT BORAGESLIP_PLATFORM_ONLY)
+    target_compile_options(borageslip_options INTERFACE -Werror)
+endif()
 target_compile_definitions(borageslip_options INTERFACE BOOST_LOG_DYN_LINK)
 if(BORAGESLIP_SANITIZER)
     target_compile_options(borageslip_options INTERFACE
--- a/modules/borageslip_core/borageslip_core.h
+++ b/modules/borageslip_core/borageslip_core.h
@@ -7,6 +7,7 @@
     Depends on no other module. System libraries: nlohmann_json, valijson, Boost.Log, cpp-httplib, OpenSSL, xxHash.
 */
 
+#include "encoding/Digest.h"
 #include "errors/Error.h"
 #include "errors/ErrorKind.h"
 #include "errors/Invariant.h"
@@ -19,6 +20,7 @@
 #include "logging/Log.h"
 #include "settings/SettingsDocument.h"
 #include "state/StateChart.h"
+#include "time/BootClock.h"
 #include "time/Clock.h"
 #include "time/ManualClock.h"
 #include "time/SystemClock.h"
--- a/modules/borageslip_core/errors/ErrorKind.cpp
+++ b/modules/borageslip_core/errors/ErrorKind.cpp
@@ -11,6 +11,8 @@
     constexpr std::array errorRows {
         ErrorTraits { ErrorKind::MalformedRequest, "malformed-request", 400, NotRun, false, "The request is malformed" },
         ErrorTraits { ErrorKind::RequestTooLarge, "request-too-large", 413, NotRun, false, "The request is too large" },
+        ErrorTraits { ErrorKind::HeaderTooLarge, "header-too-large", 431, NotRun, false, "The header is too large" },
+        ErrorTraits { ErrorKind::RequestTimeout, "request-timeout", 408, NotRun, false, "The request did not arrive in time" },
         ErrorTraits { ErrorKind::Unauthenticated, "unauthenticated", 401, NotRun, false, "The key is missing or unknown" },
         ErrorTraits { ErrorKind::Forbidden, "forbidden", 403, NotRun, false, "The client account may not do this" },
         ErrorTraits { ErrorKind::NotFound, "not-found", 404, NotRun, false, "No such resource" },
--- a/modules/borageslip_core/errors/ErrorKind.h
+++ b/modules/borageslip_core/errors/ErrorKind.h
@@ -11,6 +11,8 @@
 enum class ErrorKind {
     MalformedRequest,
     RequestTooLarge,
+    HeaderTooLarge,
+    RequestTimeout,
     Unauthenticated,
     Forbidden,
     NotFound,
--- a/modules/borageslip_inner/server/InnerServer.cpp
+++ b/modules/borageslip_inner/server/InnerServer.cpp
@@ -2,10 +2,10 @@
 
 #include <atomic>
 #include <boost/asio/post.hpp>
+#include <borageslip_core/encoding/Digest.h>
 #include <condition_variable>
 #include <map>
 #include <mutex>
-#include <openssl/crypto.h>
 
 namespace borageslip {
 
@@ -21,8 +21,8 @@
         const auto presented = authorization.substr(scheme.size());
         bool isAccepted = false;
         for (const auto& key : keys) {
-            if (!key.empty() && key.size() == presented.size())
-                isAccepted |= CRYPTO_memcmp(key.data(), presented.data(), key.size()) == 0;
+            if (!key.empty())
+                isAccepted |= equalsInConstantTime(key, presented);
         }
         return isAccepted;
     }
--- a/modules/borageslip_platform/store/ConsulStore.cpp
+++ b/modules/borageslip_platform/store/ConsulStore.cpp
@@ -1,7 +1,7 @@
 #include "ConsulStore.h"
 
 #include <algorithm>
-#include <openssl/evp.h>
+#include <borageslip_core/encoding/Digest.h>
 
 namespace borageslip {
 
@@ -12,20 +12,6 @@
         return { ErrorKind::StoreUnavailable, "the platform store's answer could not be decoded" };
     }
 
-    std::optional<std::string> decodeBase64(std::string_view text)
-    {
-        if (text.size() % 4 != 0)
-            return std::nullopt;
-        std::string bytes(text.size() / 4 * 3, '\0');
-        const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-        if (length < 0)
-            return std::nullopt;
-        // EVP_DecodeBlock counts padding as zero bytes.
-        const auto padding = text.size() - std::min(text.size(), text.find_last_not_of('=') + 1);
-        bytes.resize(static_cast<size_t>(length) - padding);
-        return bytes;
-    }
-
     Result<std::vector<StoredValue>> valuesFromJson(std::string_view text)
     {
         const auto document = nlohmann::json::parse(text, nullptr, false);
@@ -38,10 +24,8 @@
                 return malformedAnswer();
             StoredValue stored { item["Key"], {}, item["ModifyIndex"], {} };
             if (const auto bytes = item.find("Value"); bytes != item.end() && bytes->is_string()) {
-                auto decoded = decodeBase64(bytes->get_ref<const std::string&>());
-                if (!decoded)
+                if (!base64Decode(bytes->get_ref<const std::string&>(), stored.bytes))
                     return malformedAnswer();
-                stored.bytes = std::move(*decoded);
             }
             if (const auto session = item.find("Session"); session != item.end() && session->is_string())
                 stored.holder = *session;
--- a/modules/borageslip_request/borageslip_request.h
+++ b/modules/borageslip_request/borageslip_request.h
@@ -11,7 +11,6 @@
 #include "attempt/AttemptChart.h"
 #include "idempotency/AtMostOnceExecutor.h"
 #include "idempotency/ClaimCoordinator.h"
-#include "idempotency/Digest.h"
 #include "idempotency/OutcomeTable.h"
 #include "idempotency/RecordedOutcome.h"
 #include "idempotency/TicketMint.h"
--- a/modules/borageslip_request/idempotency/AtMostOnceExecutor.cpp
+++ b/modules/borageslip_request/idempotency/AtMostOnceExecutor.cpp
@@ -1,7 +1,7 @@
 #include "AtMostOnceExecutor.h"
 
 #include "../attempt/AttemptChart.h"
-#include "Digest.h"
+#include <borageslip_core/encoding/Digest.h>
 
 #include <exception>
 #include <utility>
--- a/modules/borageslip_request/idempotency/ClaimCoordinator.cpp
+++ b/modules/borageslip_request/idempotency/ClaimCoordinator.cpp
@@ -1,6 +1,6 @@
 #include "ClaimCoordinator.h"
 
-#include "Digest.h"
+#include <borageslip_core/encoding/Digest.h>
 
 #include <borageslip_core/errors/Invariant.h>
 #include <nlohmann/json.hpp>
--- a/modules/borageslip_request/idempotency/TicketMint.cpp
+++ b/modules/borageslip_request/idempotency/TicketMint.cpp
@@ -1,6 +1,6 @@
 #include "TicketMint.h"
 
-#include "Digest.h"
+#include <borageslip_core/encoding/Digest.h>
 
 #include <charconv>
 #include <utility>
--- /dev/null
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/**
+    The traffic path on one event loop: callers' connections, the request engine, backend servers and the exchange of
+    loads between instances.
+
+    Depends on borageslip_core and borageslip_request (the attempt chart). System libraries: Boost.Asio, Boost.Beast,
+    nlohmann_json.
+*/
+
+#include "caller/CallerListener.h"
+#include "caller/CallerSession.h"
+#include "configuration/Route.h"
+#include "configuration/TrafficConfiguration.h"
+#include "engine/AnswerSink.h"
+#include "engine/EventFilter.h"
+#include "engine/Exchange.h"
+#include "engine/TrafficEngine.h"
+#include "http/HttpMessages.h"
+#include "limits/FleetRetryBudget.h"
+#include "limits/RequestQueue.h"
+#include "net/ConnectionPool.h"
+#include "net/ServerConnection.h"
+#include "net/Signal.h"
+#include "net/SocketOptions.h"
+#include "peers/Member.h"
+#include "peers/PeerBoard.h"
+#include "peers/PeerLink.h"
+#include "peers/PeerReport.h"
+#include "placement/ServerChoice.h"
+#include "protocol/CallerProtocol.h"
+#include "servers/BackendServer.h"
+#include "servers/ServerTable.h"
--- /dev/null
+++ b/modules/borageslip_traffic/caller/CallerListener.cpp
@@ -0,0 +1,115 @@
+#include "CallerListener.h"
+
+#include <borageslip_core/logging/Log.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <sstream>
+
+namespace borageslip {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+    constexpr int listenBacklog = 4096;
+    constexpr Duration acceptPause = std::chrono::milliseconds(50); ///< After a failure, such as too many descriptors.
+
+}
+
+Status openAcceptor(tcp::acceptor& acceptor, const tcp::endpoint& endpoint)
+{
+    boost::system::error_code failure;
+    acceptor.open(endpoint.protocol(), failure);
+    if (!failure)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        acceptor.bind(endpoint, failure);
+    if (!failure)
+        acceptor.listen(listenBacklog, failure);
+    if (!failure)
+        return ok();
+    std::ostringstream address;
+    address << endpoint;
+    return Error { ErrorKind::InvalidSettings, "cannot listen on " + address.str() + ": " + failure.message() };
+}
+
+CallerListener::CallerListener(TrafficEngine& engine, size_t maxSessions)
+    : m_engine(engine)
+    , m_maxSessions(maxSessions)
+    , m_acceptor(engine.executor())
+{
+}
+
+Status CallerListener::listen(const tcp::endpoint& endpoint)
+{
+    if (auto opened = openAcceptor(m_acceptor, endpoint); !isOk(opened))
+        return opened;
+    asio::co_spawn(
+        m_engine.executor(), [this] { return acceptAll(); }, asio::detached);
+    return ok();
+}
+
+asio::awaitable<void> CallerListener::acceptAll()
+{
+    asio::steady_timer pause(m_engine.executor());
+    while (m_acceptor.is_open()) {
+        boost::system::error_code failure;
+        tcp::socket socket(m_engine.executor());
+        co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == asio::error::operation_aborted)
+            co_return;
+        if (!failure) {
+            auto session = std::make_shared<CallerSession>(m_engine, std::move(socket));
+            session->start();
+            if (m_isDraining)
+                session->beginDrain();
+            m_sessions.push_back(session);
+        }
+        if (failure || sessionCount() >= m_maxSessions) {
+            logEvent(Severity::Warning, "accept-paused", { { "sessions", m_sessions.size() }, { "detail", failure.message() } });
+            pause.expires_after(acceptPause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+        }
+    }
+}
+
+void CallerListener::forgetEnded()
+{
+    std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
+}
+
+size_t CallerListener::sessionCount()
+{
+    forgetEnded();
+    return m_sessions.size();
+}
+
+bool CallerListener::isIdle()
+{
+    forgetEnded();
+    return std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& session) { return session.lock()->isIdle(); });
+}
+
+void CallerListener::beginDrain()
+{
+    m_isDraining = true;
+    forgetEnded();
+    for (const auto& session : m_sessions) {
+        if (const auto alive = session.lock())
+            alive->beginDrain();
+    }
+}
+
+void CallerListener::close()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/caller/CallerSession.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "../engine/Exchange.h"
+
+#include <memory>
+#include <string>
+
+namespace borageslip {
+
+/** Serves the requests of one caller's connection, one after the other, and notices when the caller leaves.
+
+    Kept alive by its coroutines. Call it from the event loop.
+    @see CallerListener, Exchange */
+class CallerSession final : public AnswerSink, public std::enable_shared_from_this<CallerSession> {
+public:
+    CallerSession(TrafficEngine&, boost::asio::ip::tcp::socket);
+    ~CallerSession() override;
+    CallerSession(const CallerSession&) = delete;
+    CallerSession& operator=(const CallerSession&) = delete;
+
+    void start();
+
+    /** Ends the connection after the request under way, or at once when it is idle after one. */
+    void beginDrain();
+
+    bool isIdle() const { return !m_exchange; }
+
+    boost::asio::awaitable<bool> begin(const HttpResponseHead&, std::optional<uint64_t> length) override;
+    boost::asio::awaitable<bool> write(std::string_view bytes) override;
+    boost::asio::awaitable<bool> end() override;
+    void abort() override;
+    boost::asio::awaitable<bool> refuse(const Error&) override;
+    bool hasBegun() const override { return m_hasBegun; }
+    bool isCallerGone() const override { return m_isGone; }
+
+private:
+    /** How the end of the answer's body is marked. */
+    enum class Framing {
+        Length,
+        Chunked,
+        UntilClose,
+    };
+
+    boost::asio::awaitable<void> serve();
+    boost::asio::awaitable<void> readBytes();
+    boost::asio::awaitable<bool> serveRequest();
+    boost::asio::awaitable<bool> receiveRequest(RequestReader&, TimePoint arrivedAt);
+    boost::asio::awaitable<bool> flush();
+    bool endsAfterAnswer() const { return m_isDraining || !m_keepsConnection; }
+    void callerGone();
+
+    TrafficEngine& m_engine;
+    boost::asio::ip::tcp::socket m_socket;
+    Signal m_received;
+    Signal m_consumed;
+    std::string m_inbox; ///< Bytes that have arrived and are not parsed yet.
+    std::string m_outbox; ///< Bytes of the answer that are not sent yet.
+    std::shared_ptr<Exchange> m_exchange;
+    Framing m_framing = Framing::Length;
+    unsigned m_version = 11;
+    bool m_hasBegun = false;
+    bool m_isGone = false;
+    bool m_isDraining = false;
+    bool m_hasServed = false; ///< Whether it has carried a request.
+    bool m_keepsConnection = true;
+};
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/configuration/TrafficConfiguration.cpp
@@ -0,0 +1,96 @@
+#include "TrafficConfiguration.h"
+
+#include <algorithm>
+
+namespace borageslip {
+
+const Route* TrafficConfiguration::route(std::string_view host, std::string_view path) const
+{
+    const auto found = m_routesOfHost.find(host);
+    if (found == m_routesOfHost.end())
+        return nullptr;
+    for (const auto index : found->second) {
+        if (path.starts_with(m_routes[index].pathPrefix))
+            return &m_routes[index];
+    }
+    return nullptr;
+}
+
+const TrafficAccount* TrafficConfiguration::accountOfKey(std::string_view key) const
+{
+    const auto found = m_accountOfKey.find(key);
+    return found == m_accountOfKey.end() ? nullptr : &m_accounts[found->second];
+}
+
+const TrafficService* TrafficConfiguration::service(std::string_view name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+TrafficConfigurationBuilder& TrafficConfigurationBuilder::setVersion(uint64_t version)
+{
+    m_configuration.m_version = version;
+    return *this;
+}
+
+TrafficConfigurationBuilder& TrafficConfigurationBuilder::setLimits(const CallerLimits& limits)
+{
+    m_configuration.m_limits = limits;
+    return *this;
+}
+
+TrafficConfigurationBuilder& TrafficConfigurationBuilder::addRoute(Route route)
+{
+    m_configuration.m_routesOfHost[route.host].push_back(m_configuration.m_routes.size());
+    m_configuration.m_routes.push_back(std::move(route));
+    return *this;
+}
+
+TrafficConfigurationBuilder& TrafficConfigurationBuilder::addService(TrafficService service)
+{
+    auto name = service.name;
+    m_configuration.m_services.insert_or_assign(std::move(name), std::move(service));
+    return *this;
+}
+
+TrafficConfigurationBuilder& TrafficConfigurationBuilder::addAccount(TrafficAccount account, std::span<const std::string> keys)
+{
+    for (const auto& key : keys) {
+        if (!m_configuration.m_accountOfKey.emplace(key, m_configuration.m_accounts.size()).second)
+            m_error = Error { ErrorKind::InvalidMessage, "client account \"" + account.name + "\" holds a key that stands twice" };
+    }
+    m_configuration.m_accounts.push_back(std::move(account));
+    return *this;
+}
+
+Status TrafficConfigurationBuilder::checkRoutes() const
+{
+    for (const auto& route : m_configuration.m_routes) {
+        if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/'))
+            return Error { ErrorKind::InvalidMessage, "route \"" + route.name + "\": the path prefix must begin and end with a slash" };
+        if (route.services.empty())
+            return Error { ErrorKind::InvalidMessage, "route \"" + route.name + "\" has no service" };
+        for (const auto& target : route.services) {
+            if (m_configuration.service(target.service) == nullptr)
+                return Error { ErrorKind::InvalidMessage, "route \"" + route.name + "\" goes to the unknown service \"" + target.service + "\"" };
+        }
+    }
+    return ok();
+}
+
+Result<TrafficConfiguration> TrafficConfigurationBuilder::build()
+{
+    if (m_error)
+        return *m_error;
+    if (const auto checked = checkRoutes(); !isOk(checked))
+        return error(checked);
+    for (auto& [host, indexes] : m_configuration.m_routesOfHost) {
+        std::stable_sort(indexes.begin(), indexes.end(), [this](size_t first, size_t second) {
+            return m_configuration.m_routes[first].pathPrefix.size() > m_configuration.m_routes[second].pathPrefix.size();
+        });
+    }
+    return std::move(m_configuration);
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/engine/EventFilter.cpp
@@ -0,0 +1,52 @@
+#include "EventFilter.h"
+
+namespace borageslip {
+
+namespace {
+
+    constexpr std::string_view identityField = "id:";
+
+    /** Returns the position after the first blank line from `start`, or npos. */
+    size_t endOfEvent(std::string_view text, size_t start)
+    {
+        const auto plain = text.find("\n\n", start);
+        const auto withReturn = text.find("\r\n\r\n", start);
+        if (plain == std::string_view::npos && withReturn == std::string_view::npos)
+            return std::string_view::npos;
+        return withReturn < plain ? withReturn + 4 : plain + 2;
+    }
+
+}
+
+std::string EventFilter::feed(std::string_view bytes)
+{
+    m_partial.append(bytes);
+    size_t complete = 0;
+    for (auto end = endOfEvent(m_partial, 0); end != std::string_view::npos; end = endOfEvent(m_partial, complete)) {
+        noteIdentity(std::string_view(m_partial).substr(complete, end - complete));
+        complete = end;
+    }
+    auto events = m_partial.substr(0, complete);
+    m_partial.erase(0, complete);
+    return events;
+}
+
+void EventFilter::noteIdentity(std::string_view event)
+{
+    size_t line = 0;
+    while (line < event.size()) {
+        const auto end = std::min(event.find('\n', line), event.size());
+        auto text = event.substr(line, end - line);
+        if (text.starts_with(identityField)) {
+            text.remove_prefix(identityField.size());
+            if (text.starts_with(' '))
+                text.remove_prefix(1);
+            if (text.ends_with('\r'))
+                text.remove_suffix(1);
+            m_lastEventId = std::string(text);
+        }
+        line = end + 1;
+    }
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -0,0 +1,525 @@
+#include "Exchange.h"
+
+#include <borageslip_core/errors/Invariant.h>
+#include <borageslip_core/logging/Log.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+namespace borageslip {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr Duration connectLimit = milliseconds(400);
+    constexpr int maxUnreachable = 3; ///< Backend servers that a request finds unreachable before it gives up.
+    constexpr int maxForeignAnswers = 2; ///< Answers to other requests that are passed over on one connection.
+    constexpr size_t maxBufferedAnswer = 256 * 1024; ///< Bytes; a longer answer is passed on while it arrives.
+    constexpr size_t maxInlineRequest = 4 * 1024; ///< Bytes; a longer body is written while the answer is awaited.
+    constexpr size_t maxWaiting = 256; ///< Requests in the queue of one service.
+    constexpr Duration queueInterval = milliseconds(20); ///< Loads of other instances change without a notification.
+
+    // A caller that waits in the queue beyond this part of its latency objective is better told to come back.
+    constexpr int waitDivisor = 2;
+
+    /** Counts a request at a backend server for as long as it lives. */
+    class InFlight {
+    public:
+        InFlight(TrafficEngine& engine, BackendServerPtr server)
+            : m_engine(engine)
+            , m_server(std::move(server))
+        {
+            m_server->beginRequest();
+        }
+        ~InFlight()
+        {
+            m_server->endRequest();
+            m_engine.placeFreed(m_server->description().service);
+        }
+        InFlight(const InFlight&) = delete;
+        InFlight& operator=(const InFlight&) = delete;
+
+    private:
+        TrafficEngine& m_engine;
+        BackendServerPtr m_server;
+    };
+
+    /** Keeps a request in the queue for as long as it lives. */
+    class QueueEntry {
+    public:
+        QueueEntry(RequestQueue& queue, const WaitingRequest& request)
+            : m_queue(queue)
+            , m_request(request)
+        {
+            m_queue.add(m_request);
+        }
+        ~QueueEntry()
+        {
+            m_queue.remove(m_request);
+            m_queue.wakeFirst();
+        }
+        QueueEntry(const QueueEntry&) = delete;
+        QueueEntry& operator=(const QueueEntry&) = delete;
+
+        bool isFirst() const { return m_queue.isFirst(m_request); }
+
+    private:
+        RequestQueue& m_queue;
+        WaitingRequest m_request;
+    };
+
+    std::optional<Duration> keepAliveOf(const HttpResponseHead& head)
+    {
+        constexpr std::string_view parameter = "timeout=";
+        const auto field = head[boost::beast::http::field::keep_alive];
+        const std::string_view text(field.data(), field.size());
+        const auto start = text.find(parameter);
+        if (start == std::string_view::npos)
+            return std::nullopt;
+        int seconds = 0;
+        const auto* digits = text.data() + start + parameter.size();
+        if (std::from_chars(digits, text.data() + text.size(), seconds).ec != std::errc())
+            return std::nullopt;
+        return std::chrono::seconds(seconds);
+    }
+
+    milliseconds toMilliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<milliseconds>(duration);
+    }
+
+}
+
+Exchange::Exchange(TrafficEngine& engine, AnswerSink& sink, HttpRequest request, TimePoint arrivedAt)
+    : m_engine(engine)
+    , m_sink(sink)
+    , m_request(std::move(request))
+    , m_facts(engine.protocol().requestFacts(m_request))
+    , m_arrivedAt(arrivedAt)
+    , m_deadline(arrivedAt)
+    , m_deadlineTimer(engine.executor())
+    , m_placeSignal(engine.executor())
+{
+}
+
+milliseconds Exchange::timeLeft() const
+{
+    return std::max(milliseconds(0), toMilliseconds(m_deadline - m_engine.clock().now()));
+}
+
+asio::awaitable<void> Exchange::run()
+{
+    ++m_engine.counts().requests;
+    auto admitted = m_engine.admit(m_request, m_facts);
+    if (!isOk(admitted)) {
+        co_await conclude(error(admitted));
+        co_return;
+    }
+    m_admitted = value(std::move(admitted));
+    m_deadline = m_arrivedAt + std::min(route().timeout, m_facts.timeLeft.value_or(route().timeout));
+    startDeadline();
+    co_await serve();
+    m_deadlineTimer.cancel();
+}
+
+void Exchange::startDeadline()
+{
+    m_deadlineTimer.expires_after(timeLeft());
+    m_deadlineTimer.async_wait([weak = weak_from_this()](boost::system::error_code failure) {
+        const auto self = weak.lock();
+        if (!failure && self)
+            self->stop(Stop::DeadlinePassed);
+    });
+}
+
+void Exchange::stop(Stop reason)
+{
+    if (m_stop != Stop::None)
+        return;
+    m_stop = reason;
+    if (m_connection)
+        m_connection->close();
+    m_placeSignal.notify();
+}
+
+void Exchange::callerLeft()
+{
+    if (m_stop != Stop::None)
+        return;
+    ++m_engine.counts().callersGone;
+    const bool isLeftToFinish = m_connection && m_admitted.route != nullptr && route().kind == RequestKind::AtMostOnce;
+    if (!isLeftToFinish)
+        stop(Stop::CallerLeft);
+}
+
+asio::awaitable<void> Exchange::serve()
+{
+    auto& budget = m_engine.retryBudget(m_admitted.service);
+    budget.recordRequest(m_engine.clock().now());
+    int unreachable = 0;
+    while (m_stop == Stop::None && m_sends < route().maxAttempts && unreachable < maxUnreachable) {
+        auto server = co_await awaitServer();
+        if (!isOk(server)) {
+            m_lastError = error(server);
+            break;
+        }
+        if (m_sends > 0 && !m_hasRetryGrant && !budget.tryRetry(m_engine.clock().now()))
+            break;
+        m_hasRetryGrant = false;
+        const auto end = co_await attempt(value(std::move(server)));
+        if (end == AttemptEnd::Delivered)
+            co_return;
+        if (end == AttemptEnd::Ended)
+            break;
+        if (end == AttemptEnd::NotSent) {
+            ++unreachable;
+            continue;
+        }
+        ++m_sends;
+        if (end == AttemptEnd::Lost && !route().mayRunAgain())
+            break;
+    }
+    co_await conclude(m_lastError);
+}
+
+BackendServerPtr Exchange::choose()
+{
+    return m_engine.choose(m_admitted, m_facts, m_tried);
+}
+
+asio::awaitable<Result<BackendServerPtr>> Exchange::awaitServer()
+{
+    if (!m_engine.hasServers(m_admitted.service))
+        co_return Error { ErrorKind::NoEngineAvailable, "no backend server of \"" + m_admitted.service + "\" is in service" };
+    const bool isRepeat = !m_tried.empty();
+    if (isRepeat || m_engine.queue(m_admitted.service).isEmpty()) {
+        if (auto server = choose())
+            co_return server;
+    }
+    if (isRepeat)
+        co_return m_lastError;
+    co_return co_await waitInQueue();
+}
+
+asio::awaitable<Result<BackendServerPtr>> Exchange::waitInQueue()
+{
+    const Error overloaded { ErrorKind::Overloaded, "no place at a backend server of \"" + m_admitted.service + "\" in time" };
+    auto& queue = m_engine.queue(m_admitted.service);
+    if (queue.size() >= maxWaiting)
+        co_return overloaded;
+    const auto giveUpAt = std::min(m_deadline, m_arrivedAt + route().latencyObjective / waitDivisor);
+    const QueueEntry entry(queue, { m_admitted.accountPriority, route().priority, m_deadline, m_engine.nextOrder(), &m_placeSignal });
+    while (m_stop == Stop::None) {
+        if (entry.isFirst()) {
+            if (auto server = choose())
+                co_return server;
+        }
+        const auto left = giveUpAt - m_engine.clock().now();
+        if (left <= Duration::zero())
+            break;
+        co_await m_placeSignal.waitFor(std::min<Duration>(left, queueInterval));
+    }
+    co_return overloaded;
+}
+
+asio::awaitable<Exchange::AttemptEnd> Exchange::attempt(BackendServerPtr server)
+{
+    const InFlight inFlight(m_engine, server);
+    m_tried.push_back(server->hash());
+    AttemptState state { server, server->pool().takeIdle() };
+    if (!state.connection) {
+        auto connected = co_await ConnectionPool::connect(m_engine.executor(), server->pool().endpoint(), connectLimit);
+        if (!isOk(connected)) {
+            server->recordFailure();
+            m_lastError = error(connected);
+            logEvent(Severity::Warning, "server-unreachable", { { "request", m_facts.requestId }, { "server", server->description().id }, { "detail", m_lastError.detail } });
+            co_return AttemptEnd::NotSent;
+        }
+        state.connection = value(std::move(connected));
+    }
+    if (m_stop != Stop::None)
+        co_return AttemptEnd::Ended;
+    if (!server->isInService()) {
+        m_lastError = { ErrorKind::EngineUnreachable, "the backend server left while a connection was opened" };
+        co_return AttemptEnd::NotSent;
+    }
+    m_connection = state.connection;
+    const auto end = co_await send(state);
+    m_connection = nullptr;
+    if (m_stop != Stop::None && end != AttemptEnd::Delivered) {
+        m_mayHaveRun |= state.chart.mayHaveRun();
+        co_return AttemptEnd::Ended;
+    }
+    co_return end;
+}
+
+std::string Exchange::handoverHead(const BackendServer& server) const
+{
+    HttpRequest outgoing;
+    outgoing.method_string(m_request.method_string());
+    outgoing.target(m_request.target());
+    for (const auto& field : m_request)
+        outgoing.insert(field.name_string(), field.value());
+    removeConnectionFields(outgoing);
+    HandoverFacts facts { timeLeft(), server.description().id, m_admitted.account };
+    if (m_events.lastEventId())
+        facts.resumeAfter = *m_events.lastEventId();
+    m_engine.protocol().prepareHandover(outgoing, facts);
+    return serializeRequestHead(outgoing, m_request.body().size());
+}
+
+asio::awaitable<void> Exchange::writeRequest(std::shared_ptr<Exchange> self, ServerConnectionPtr connection, std::string head, std::shared_ptr<bool> isWritten)
+{
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(self->m_request.body()) };
+    boost::system::error_code failure;
+    co_await asio::async_write(connection->socket, buffers, asio::redirect_error(asio::use_awaitable, failure));
+    *isWritten = !failure;
+}
+
+asio::awaitable<Exchange::AttemptEnd> Exchange::send(AttemptState& state)
+{
+    state.chart.fire(AttemptEvent::Send);
+    auto head = handoverHead(*state.server);
+    // A backend server may answer before it has read a long body, and read on later.
+    if (head.size() + m_request.body().size() > maxInlineRequest)
+        asio::co_spawn(m_engine.executor(), writeRequest(shared_from_this(), state.connection, std::move(head), state.isWritten), asio::detached);
+    else
+        co_await writeRequest(shared_from_this(), state.connection, std::move(head), state.isWritten);
+    co_return co_await receive(state);
+}
+
+asio::awaitable<bool> Exchange::readMore(AttemptState& state, AnswerReader& reader)
+{
+    auto& connection = *state.connection;
+    boost::system::error_code failure;
+    co_await connection.socket.async_wait(asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure || !connection.socket.is_open())
+        co_return false;
+    const auto scratch = m_engine.scratch();
+    connection.socket.non_blocking(true, failure);
+    const auto count = connection.socket.read_some(asio::buffer(scratch.data(), scratch.size()), failure);
+    if (failure == asio::error::would_block)
+        co_return true;
+    if (failure == asio::error::eof)
+        co_return isOk(reader.endOfInput()) && reader.isDone();
+    if (failure)
+        co_return false;
+    connection.unread.append(scratch.data(), count);
+    co_return isOk(reader.feed(connection.unread));
+}
+
+asio::awaitable<bool> Exchange::readToEnd(AttemptState& state, AnswerReader& reader)
+{
+    while (!reader.isDone()) {
+        const bool isOpen = co_await readMore(state, reader);
+        if (!isOpen)
+            co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> Exchange::receiveHead(AttemptState& state, AnswerReader& reader)
+{
+    if (!isOk(reader.feed(state.connection->unread)))
+        co_return false;
+    while (!reader.hasHead()) {
+        const bool isOpen = co_await readMore(state, reader);
+        if (!isOpen)
+            co_return false;
+    }
+    co_return true;
+}
+
+bool Exchange::isAnswerOwn(const AttemptState& state, const AnswerFacts& facts) const
+{
+    if (!facts.requestId.empty())
+        return facts.requestId == m_facts.requestId;
+    // Without an identity it can only be told by a connection that has carried no other request.
+    return !state.connection->hasCarriedRequest && (facts.isNotRun || facts.isMisdirected);
+}
+
+asio::awaitable<Exchange::AttemptEnd> Exchange::receive(AttemptState& state)
+{
+    const auto bodyKind = m_request.method() == boost::beast::http::verb::head ? AnswerReader::Body::None : AnswerReader::Body::Expected;
+    for (int foreign = 0; foreign <= maxForeignAnswers; ++foreign) {
+        AnswerReader reader(bodyKind);
+        const bool hasHead = co_await receiveHead(state, reader);
+        if (!hasHead)
+            co_return lost(state, "connection lost before an answer");
+        const auto facts = m_engine.protocol().answerFacts(reader.head().result_int(), reader.head());
+        if (!isAnswerOwn(state, facts)) {
+            logEvent(Severity::Warning, "foreign-answer", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "answer", facts.requestId } });
+            const bool isWhole = co_await readToEnd(state, reader);
+            if (!isWhole || reader.framing() == BodyFraming::UntilClose)
+                co_return lost(state, "connection lost after an answer to another request");
+            continue;
+        }
+        if (facts.isEncoded)
+            co_return lost(state, "encoded answer");
+        if (facts.isNotRun || facts.isMisdirected)
+            co_return co_await refusedByServer(state, reader);
+        const bool isSuccess = reader.head().result_int() / 100 == 2;
+        if (!isSuccess && mayRetryFailure(reader.head().result_int())) {
+            m_mayHaveRun = true;
+            m_lastError = { ErrorKind::ServiceFailed, "the backend server failed" };
+            state.connection->close();
+            co_return AttemptEnd::Lost;
+        }
+        if (!isSuccess && m_sink.hasBegun())
+            co_return lost(state, "failure of a resumed stream");
+        if (isSuccess && route().kind == RequestKind::Stream)
+            co_return co_await deliverStream(state, reader);
+        co_return co_await deliverBuffered(state, reader);
+    }
+    co_return lost(state, "answers to other requests");
+}
+
+bool Exchange::mayRetryFailure(unsigned status)
+{
+    const bool isAllowed = status >= 500 && route().mayRunAgain() && m_sends + 1 < route().maxAttempts;
+    if (!isAllowed || !m_engine.retryBudget(m_admitted.service).tryRetry(m_engine.clock().now()))
+        return false;
+    m_hasRetryGrant = true;
+    ++m_engine.counts().retries;
+    return true;
+}
+
+asio::awaitable<Exchange::AttemptEnd> Exchange::refusedByServer(AttemptState& state, AnswerReader& reader)
+{
+    state.chart.fire(AttemptEvent::NotRun);
+    m_lastError = { ErrorKind::EngineRefused, "the backend server did not take the request" };
+    logEvent(Severity::Info, "not-run", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "status", reader.head().result_int() } });
+    const bool isWhole = co_await readToEnd(state, reader);
+    if (isWhole)
+        release(state, reader);
+    co_return AttemptEnd::NotRun;
+}
+
+Exchange::AttemptEnd Exchange::lost(AttemptState& state, std::string_view reason)
+{
+    state.connection->close();
+    m_mayHaveRun = true;
+    m_lastError = { ErrorKind::ServiceFailed, std::string(reason) };
+    if (m_stop == Stop::None) {
+        state.server->recordFailure();
+        logEvent(Severity::Warning, "answer-lost", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "reason", reason } });
+    }
+    return AttemptEnd::Lost;
+}
+
+void Exchange::release(AttemptState& state, const AnswerReader& reader)
+{
+    auto& connection = state.connection;
+    if (!connection->unread.empty())
+        logEvent(Severity::Warning, "bytes-after-answer", { { "request", m_facts.requestId }, { "server", state.server->description().id } });
+    const bool isReusable = reader.keepsConnection() && reader.framing() != BodyFraming::UntilClose && connection->unread.empty() && *state.isWritten && state.server->isInService();
+    if (!isReusable) {
+        connection->close();
+        return;
+    }
+    connection->keepAlive = keepAliveOf(reader.head());
+    state.server->pool().giveBack(connection);
+}
+
+asio::awaitable<Exchange::AttemptEnd> Exchange::deliverBuffered(AttemptState& state, AnswerReader& reader)
+{
+    std::string body = reader.takeBody();
+    while (!reader.isDone() && body.size() <= maxBufferedAnswer) {
+        const bool isOpen = co_await readMore(state, reader);
+        if (!isOpen)
+            co_return lost(state, "connection lost within the answer");
+        body += reader.takeBody();
+    }
+    state.server->recordSuccess();
+    HttpResponseHead head = reader.head();
+    removeConnectionFields(head);
+    const auto length = reader.isDone() ? std::optional<uint64_t>(reader.framing() == BodyFraming::Length ? reader.contentLength().value_or(body.size()) : body.size()) : reader.contentLength();
+    co_await m_sink.begin(head, length);
+    bool isTaken = co_await m_sink.write(body);
+    while (isTaken && !reader.isDone()) {
+        const bool isOpen = co_await readMore(state, reader);
+        if (!isOpen) {
+            lost(state, "connection lost within a long answer");
+            co_return AttemptEnd::Ended;
+        }
+        isTaken = co_await m_sink.write(reader.takeBody());
+    }
+    if (isTaken)
+        co_await m_sink.end();
+    state.chart.fire(AttemptEvent::Finish);
+    if (reader.isDone())
+        release(state, reader);
+    else
+        state.connection->close();
+    ++m_engine.counts().answered;
+    co_return AttemptEnd::Delivered;
+}
+
+asio::awaitable<Exchange::AttemptEnd> Exchange::deliverStream(AttemptState& state, AnswerReader& reader)
+{
+    state.chart.fire(AttemptEvent::Event);
+    if (!m_sink.hasBegun()) {
+        HttpResponseHead head = reader.head();
+        removeConnectionFields(head);
+        co_await m_sink.begin(head, std::nullopt);
+    }
+    const bool isResumable = route().isResumable;
+    while (true) {
+        auto bytes = reader.takeBody();
+        if (isResumable)
+            bytes = m_events.feed(bytes);
+        bool isTaken = !m_sink.isCallerGone();
+        if (!bytes.empty())
+            isTaken = co_await m_sink.write(bytes);
+        if (!isTaken) {
+            state.connection->close();
+            co_return AttemptEnd::Ended;
+        }
+        if (reader.isDone())
+            break;
+        const bool isOpen = co_await readMore(state, reader);
+        if (!isOpen) {
+            m_events.dropPartialEvent();
+            co_return lost(state, "connection lost within a stream");
+        }
+    }
+    if (m_events.hasPartialEvent())
+        co_await m_sink.write(m_events.takePartial());
+    co_await m_sink.end();
+    state.chart.fire(AttemptEvent::Finish);
+    state.server->recordSuccess();
+    release(state, reader);
+    ++m_engine.counts().answered;
+    co_return AttemptEnd::Delivered;
+}
+
+asio::awaitable<void> Exchange::conclude(Error failure)
+{
+    if (m_stop == Stop::CallerLeft || m_sink.isCallerGone())
+        co_return;
+    if (m_stop == Stop::DeadlinePassed)
+        failure = { m_mayHaveRun ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineBeforeStart, "the time limit has passed" };
+    if (m_sink.hasBegun()) {
+        ++m_engine.counts().failed;
+        m_sink.abort();
+        co_return;
+    }
+    if (m_mayHaveRun && !failure.mayHaveRun())
+        failure = { ErrorKind::ServiceFailed, failure.detail };
+    BORAGESLIP_INVARIANT(!m_mayHaveRun || failure.mayHaveRun(), "I3", "a request that may have run is refused as not run");
+    ++(failure.mayHaveRun() ? m_engine.counts().failed : m_engine.counts().refused);
+    if (!failure.mayHaveRun() && failure.isRetryable())
+        failure.retryAfter = m_engine.retryAfter(m_admitted.route != nullptr ? timeLeft() : m_facts.timeLeft.value_or(milliseconds(0)));
+    logEvent(Severity::Info, "refused", { { "request", m_facts.requestId }, { "kind", errorTraits(failure.kind).name }, { "detail", failure.detail } });
+    co_await m_sink.refuse(failure);
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -0,0 +1,162 @@
+#include "TrafficEngine.h"
+
+#include <borageslip_core/identity/Hash.h>
+#include <borageslip_core/logging/Log.h>
+
+#include <algorithm>
+
+namespace borageslip {
+
+namespace {
+
+    // The start of an affinity; a zero would mean that a request has none.
+    constexpr uint64_t affinitySeed = 0x62736c70;
+
+    std::string_view hostWithoutPort(std::string_view host)
+    {
+        return host.substr(0, host.find(':'));
+    }
+
+    std::string_view pathOf(std::string_view target)
+    {
+        return target.substr(0, target.find('?'));
+    }
+
+    const std::string& serviceOf(const Route& route, std::string_view requestId)
+    {
+        uint64_t total = 0;
+        for (const auto& part : route.services)
+            total += part.weight;
+        if (total == 0)
+            return route.services.front().service;
+        auto point = hashBytes(requestId) % total;
+        for (const auto& part : route.services) {
+            if (point < part.weight)
+                return part.service;
+            point -= part.weight;
+        }
+        return route.services.back().service;
+    }
+
+    /** Hash of the parts that other requests share: all but the last one, which is the request's own. */
+    uint64_t affinityOf(const RequestFacts& facts)
+    {
+        if (facts.promptParts.empty())
+            return 0;
+        const size_t shared = std::max<size_t>(facts.promptParts.size() - 1, 1);
+        uint64_t affinity = hashBytes(facts.model, affinitySeed);
+        for (size_t i = 0; i < shared; ++i)
+            affinity = hashPair(affinity, facts.promptParts[i].id);
+        return affinity | 1;
+    }
+
+}
+
+TrafficEngine::TrafficEngine(const Clock& clock, boost::asio::any_io_executor executor, const CallerProtocol& protocol, TrafficSettings settings)
+    : m_clock(clock)
+    , m_executor(executor)
+    , m_protocol(protocol)
+    , m_settings(std::move(settings))
+    , m_servers(clock, executor)
+{
+}
+
+void TrafficEngine::setConfiguration(TrafficConfigurationPtr configuration)
+{
+    if (m_configuration && configuration->version() <= m_configuration->version()) {
+        if (configuration->version() < m_configuration->version())
+            logEvent(Severity::Warning, "configuration-ignored", { { "version", configuration->version() }, { "in_force", m_configuration->version() } });
+        return;
+    }
+    m_configuration = std::move(configuration);
+    logEvent(Severity::Info, "configuration-in-force", { { "version", m_configuration->version() }, { "routes", m_configuration->routes().size() }, { "keys", m_configuration->keyCount() } });
+}
+
+bool TrafficEngine::mayTrustKeys() const
+{
+    return !m_settings.keyLifetime || m_clock.now() - m_confirmedAt < *m_settings.keyLifetime;
+}
+
+Result<AdmittedRequest> TrafficEngine::admit(const HttpRequest& request, const RequestFacts& facts) const
+{
+    if (!m_configuration)
+        return Error { ErrorKind::NoConfiguration, "this instance has not read a configuration yet" };
+    const auto host = request[boost::beast::http::field::host];
+    const auto target = request.target();
+    const auto* route = m_configuration->route(hostWithoutPort({ host.data(), host.size() }), pathOf({ target.data(), target.size() }));
+    if (route == nullptr && !mayTrustKeys())
+        return Error { ErrorKind::StoreUnavailable, "no route, and the configuration may be out of date" };
+    if (route == nullptr)
+        return Error { ErrorKind::NotFound, "no route for this host and path" };
+
+    AdmittedRequest admitted { m_configuration, route, {}, 0, serviceOf(*route, facts.requestId) };
+    if (!m_configuration->hasAccounts())
+        return admitted;
+    const auto* account = facts.key.empty() ? nullptr : m_configuration->accountOfKey(facts.key);
+    if (!route->allowsAnonymous && !mayTrustKeys())
+        return Error { ErrorKind::StoreUnavailable, "keys cannot be checked: no word from the store" };
+    if (account == nullptr && !route->allowsAnonymous)
+        return Error { ErrorKind::Unauthenticated, "the key is missing or unknown" };
+    // An anonymous route serves a request with an outdated key as anonymous.
+    if (account != nullptr && mayTrustKeys()) {
+        admitted.account = account->name;
+        admitted.accountPriority = account->priority;
+    }
+    return admitted;
+}
+
+bool TrafficEngine::hasServers(std::string_view service) const
+{
+    const auto servers = m_servers.ofService(service);
+    return std::any_of(servers.begin(), servers.end(), [](const auto& server) { return server->isInService(); });
+}
+
+BackendServerPtr TrafficEngine::choose(const AdmittedRequest& admitted, const RequestFacts& facts, std::span<const uint64_t> excluded)
+{
+    const auto now = m_clock.now();
+    std::vector<ServerCandidate> candidates;
+    std::vector<BackendServerPtr> servers;
+    for (const auto& server : m_servers.ofService(admitted.service)) {
+        if (!server->isInService())
+            continue;
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
+        candidates.push_back({ server->hash(), server->inFlight(), server->description().slots, server->pendingPrefill(), isExcluded,
+            server->isEjected(now), server->isCold(now), server->description().failureDomain == m_settings.failureDomain });
+        servers.push_back(server);
+    }
+    const auto affinity = admitted.route->reusesPrefixes ? affinityOf(facts) : 0;
+    const auto chosen = chooseServer(candidates, affinity, hashBytes(facts.requestId), m_settings.choice);
+    return chosen ? servers[*chosen] : nullptr;
+}
+
+FleetRetryBudget& TrafficEngine::retryBudget(const std::string& service)
+{
+    const auto [found, isNew] = m_retryBudgets.try_emplace(service, m_settings.retryBudget);
+    if (isNew)
+        found->second.setInstanceCount(m_instances);
+    return found->second;
+}
+
+void TrafficEngine::setInstanceCount(size_t instances)
+{
+    m_instances = instances;
+    for (auto& [service, budget] : m_retryBudgets)
+        budget.setInstanceCount(instances);
+}
+
+void TrafficEngine::placeFreed(const std::string& service)
+{
+    if (const auto found = m_queues.find(service); found != m_queues.end())
+        found->second.wakeFirst();
+}
+
+std::chrono::milliseconds TrafficEngine::retryAfter(std::chrono::milliseconds timeLeft)
+{
+    constexpr std::chrono::milliseconds soonest { 150 };
+    constexpr std::chrono::milliseconds latest { 1500 };
+    const auto end = std::clamp(timeLeft / 3, soonest, latest);
+    std::uniform_int_distribution<int64_t> spread(soonest.count(), end.count());
+    return std::chrono::milliseconds(spread(m_random));
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/http/HttpMessages.cpp
@@ -0,0 +1,202 @@
+#include "HttpMessages.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <vector>
+
+namespace borageslip {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    std::string_view viewOf(boost::beast::string_view text)
+    {
+        return { text.data(), text.size() };
+    }
+
+    Error requestError(boost::beast::error_code failure)
+    {
+        if (failure == http::error::header_limit)
+            return { ErrorKind::HeaderTooLarge, "the header is over the configured limit" };
+        if (failure == http::error::body_limit)
+            return { ErrorKind::RequestTooLarge, "the body is over the configured limit" };
+        return { ErrorKind::MalformedRequest, failure.message() };
+    }
+
+    /** Feeds a parser until it is done, needs more bytes or fails. */
+    template <typename Parser>
+    boost::beast::error_code feedParser(Parser& parser, std::string& bytes)
+    {
+        size_t consumed = 0;
+        boost::beast::error_code failure;
+        while (consumed < bytes.size() && !parser.is_done()) {
+            const auto count = parser.put(boost::asio::buffer(bytes.data() + consumed, bytes.size() - consumed), failure);
+            consumed += count;
+            if (failure || count == 0)
+                break;
+        }
+        bytes.erase(0, consumed);
+        if (failure == http::error::need_more)
+            failure = {};
+        return failure;
+    }
+
+}
+
+RequestReader::RequestReader(uint32_t maxHeaderBytes, uint64_t maxBodyBytes)
+{
+    m_parser.eager(true);
+    m_parser.header_limit(maxHeaderBytes);
+    m_parser.body_limit(maxBodyBytes);
+}
+
+Status RequestReader::feed(std::string& bytes)
+{
+    if (const auto failure = feedParser(m_parser, bytes))
+        return requestError(failure);
+    if (hasHead() && !m_isHeadChecked) {
+        m_isHeadChecked = true;
+        return checkHead();
+    }
+    return ok();
+}
+
+Status RequestReader::checkHead() const
+{
+    const auto& head = m_parser.get();
+    // A framing that the backend server may read differently would let a second request hide in the body.
+    if (head.count(http::field::transfer_encoding) > 0) {
+        if (head.count(http::field::transfer_encoding) > 1 || !boost::beast::iequals(head[http::field::transfer_encoding], "chunked"))
+            return Error { ErrorKind::MalformedRequest, "unsupported transfer coding" };
+        if (head.count(http::field::content_length) > 0 || head.version() < 11)
+            return Error { ErrorKind::MalformedRequest, "ambiguous length of the body" };
+    }
+    if (head.count(http::field::host) != 1)
+        return Error { ErrorKind::MalformedRequest, "exactly one Host field is needed" };
+    if (head.target().empty() || head.target().front() != '/')
+        return Error { ErrorKind::MalformedRequest, "the target must be an absolute path" };
+    return ok();
+}
+
+bool RequestReader::expectsContinue() const
+{
+    return boost::beast::iequals(m_parser.get()[http::field::expect], "100-continue");
+}
+
+AnswerReader::AnswerReader(Body body)
+    : m_body(body)
+{
+    begin();
+}
+
+void AnswerReader::begin()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->body_limit(boost::none);
+    if (m_body == Body::None)
+        m_parser->skip(true);
+}
+
+Status AnswerReader::feed(std::string& bytes)
+{
+    while (true) {
+        if (const auto failure = feedParser(*m_parser, bytes))
+            return Error { ErrorKind::InvalidMessage, failure.message() };
+        const bool isInterim = m_parser->is_header_done() && m_parser->get().result_int() / 100 == 1;
+        if (!isInterim)
+            return ok();
+        begin();
+    }
+}
+
+Status AnswerReader::endOfInput()
+{
+    if (isDone())
+        return ok();
+    boost::beast::error_code failure;
+    m_parser->put_eof(failure);
+    if (failure || !isDone())
+        return Error { ErrorKind::InvalidMessage, "the connection ended before the answer was complete" };
+    return ok();
+}
+
+BodyFraming AnswerReader::framing() const
+{
+    if (m_parser->chunked())
+        return BodyFraming::Chunked;
+    return m_parser->need_eof() ? BodyFraming::UntilClose : BodyFraming::Length;
+}
+
+std::optional<uint64_t> AnswerReader::contentLength() const
+{
+    const auto length = m_parser->content_length();
+    return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
+std::string AnswerReader::takeBody()
+{
+    std::string body;
+    body.swap(m_parser->get().body());
+    return body;
+}
+
+bool isConnectionField(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 11> names { "connection", "content-length", "expect", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade" };
+    return std::any_of(names.begin(), names.end(), [name](std::string_view known) { return boost::beast::iequals(boost::beast::string_view(name.data(), name.size()), boost::beast::string_view(known.data(), known.size())); });
+}
+
+void removeConnectionFields(http::fields& fields)
+{
+    std::vector<std::string> named;
+    for (const auto& token : http::token_list(fields[http::field::connection]))
+        named.emplace_back(token.data(), token.size());
+    for (const auto& name : named)
+        fields.erase(name);
+    for (auto field = fields.begin(); field != fields.end();) {
+        if (isConnectionField(viewOf(field->name_string())))
+            field = fields.erase(field);
+        else
+            ++field;
+    }
+}
+
+namespace {
+
+    void appendFields(std::string& text, const http::fields& fields)
+    {
+        for (const auto& field : fields) {
+            text.append(viewOf(field.name_string())).append(": ");
+            text.append(viewOf(field.value())).append("\r\n");
+        }
+    }
+
+}
+
+std::string serializeRequestHead(const HttpRequest& request, size_t bodyBytes)
+{
+    std::string text;
+    text.reserve(512);
+    text.append(viewOf(request.method_string())).append(" ").append(viewOf(request.target())).append(" HTTP/1.1\r\n");
+    appendFields(text, request);
+    // A method without a body stays without a length, as the caller sent it.
+    const bool hasLength = bodyBytes > 0 || (request.method() != http::verb::get && request.method() != http::verb::head);
+    if (hasLength)
+        text.append("Content-Length: ").append(std::to_string(bodyBytes)).append("\r\n");
+    return text.append("\r\n");
+}
+
+std::string serializeResponseHead(const HttpResponseHead& head)
+{
+    std::string text;
+    text.reserve(512);
+    text.append("HTTP/1.1 ").append(std::to_string(head.result_int())).append(" ").append(viewOf(head.reason())).append("\r\n");
+    appendFields(text, head);
+    return text;
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/peers/Member.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <string>
+
+namespace borageslip {
+
+/** An instance of the fleet, as it has registered itself in the store. */
+struct Member {
+    std::string name;
+    std::string failureDomain;
+    boost::asio::ip::tcp::endpoint callerAddress;
+    boost::asio::ip::udp::endpoint peerAddress;
+
+    bool operator==(const Member&) const = default;
+};
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/peers/PeerBoard.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "PeerReport.h"
+
+#include <borageslip_core/time/Clock.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace borageslip {
+
+/** The latest reports of the other instances. Reports that are older than the lifetime do not count.
+    Pure: time is passed in. Not thread-safe. */
+class PeerBoard {
+public:
+    explicit PeerBoard(Duration lifetime)
+        : m_lifetime(lifetime)
+    {
+    }
+
+    /** Takes a report unless a newer one of its sender is known. */
+    void apply(PeerReport, TimePoint now);
+
+    /** Requests of the other instances, by backend server. */
+    std::unordered_map<uint64_t, int> uses(TimePoint now) const;
+
+    /** Whether a report of the instance has come within the lifetime. */
+    bool isHeard(std::string_view instance, TimePoint now) const;
+
+    /** Whether its latest report says that callers may be sent to it. */
+    bool takesCallers(std::string_view instance) const;
+
+    size_t heardCount(TimePoint now) const;
+    void setLifetime(Duration lifetime) { m_lifetime = lifetime; }
+
+private:
+    struct Entry {
+        PeerReport report;
+        TimePoint heardAt {};
+    };
+
+    Duration m_lifetime;
+    std::map<std::string, Entry, std::less<>> m_entries;
+};
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -0,0 +1,40 @@
+#include "PeerReport.h"
+
+#include <nlohmann/json.hpp>
+
+namespace borageslip {
+
+namespace {
+
+    // Distinguishes this format from a later one.
+    constexpr int formatVersion = 1;
+
+}
+
+std::vector<uint8_t> encodePeerReport(const PeerReport& report)
+{
+    auto uses = nlohmann::json::array();
+    for (const auto& use : report.uses)
+        uses.push_back({ use.server, use.inFlight });
+    return nlohmann::json::to_cbor(nlohmann::json::array({ formatVersion, report.sender, report.incarnation, report.sequence, report.takesCallers, std::move(uses) }));
+}
+
+Result<PeerReport> decodePeerReport(std::span<const uint8_t> bytes)
+{
+    const Error malformed { ErrorKind::InvalidMessage, "a peer's report could not be decoded" };
+    const auto document = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!document.is_array() || document.size() < 6 || document[0] != formatVersion)
+        return malformed;
+    const bool isTyped = document[1].is_string() && document[2].is_number_unsigned() && document[3].is_number_unsigned() && document[4].is_boolean() && document[5].is_array();
+    if (!isTyped)
+        return malformed;
+    PeerReport report { document[1], document[2], document[3], document[4], {} };
+    for (const auto& use : document[5]) {
+        if (!use.is_array() || use.size() != 2 || !use[0].is_number_unsigned() || !use[1].is_number_unsigned())
+            return malformed;
+        report.uses.push_back({ use[0], use[1] });
+    }
+    return report;
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <borageslip_core/errors/Result.h>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace borageslip {
+
+/** Requests of one instance at one backend server. */
+struct ServerUse {
+    uint64_t server = 0; ///< Hash of its identity.
+    uint32_t inFlight = 0;
+
+    bool operator==(const ServerUse&) const = default;
+};
+
+/** What an instance tells the others, in one datagram. */
+struct PeerReport {
+    std::string sender;
+    uint64_t incarnation = 0; ///< Of the sender's process; grows with each start.
+    uint64_t sequence = 0;
+    bool takesCallers = false; ///< Whether callers may be sent to it.
+    std::vector<ServerUse> uses; ///< Backend servers at which it has requests.
+
+    bool operator==(const PeerReport&) const = default;
+};
+
+/** Encodes a report as a CBOR array. */
+std::vector<uint8_t> encodePeerReport(const PeerReport&);
+
+/** Errors: InvalidMessage for bytes that are no report. */
+Result<PeerReport> decodePeerReport(std::span<const uint8_t>);
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/servers/BackendServer.cpp
@@ -0,0 +1,62 @@
+#include "BackendServer.h"
+
+#include <borageslip_core/identity/Hash.h>
+
+#include <algorithm>
+
+namespace borageslip {
+
+namespace {
+
+    constexpr int failuresBeforeEjection = 2;
+    constexpr Duration shortestEjection = std::chrono::milliseconds(500);
+    constexpr Duration longestEjection = std::chrono::seconds(4);
+
+}
+
+BackendServer::BackendServer(ServerDescription description, const Clock& clock, const boost::asio::any_io_executor& executor)
+    : m_description(std::move(description))
+    , m_clock(clock)
+    , m_hash(hashBytes(m_description.id))
+    , m_pool(clock, executor, m_description.address)
+{
+    setCold(m_description.coldLeft);
+}
+
+void BackendServer::setCold(std::chrono::milliseconds left)
+{
+    if (left.count() > 0)
+        m_coldUntil = m_clock.now() + left;
+}
+
+void BackendServer::update(ServerDescription description)
+{
+    m_description = std::move(description);
+    m_isRemoved = false;
+    setCold(m_description.coldLeft);
+    if (m_description.isDraining)
+        m_pool.closeAll();
+}
+
+void BackendServer::remove()
+{
+    m_isRemoved = true;
+    m_pool.closeAll();
+}
+
+void BackendServer::recordSuccess()
+{
+    m_consecutiveFailures = 0;
+    m_ejectedUntil = {};
+}
+
+void BackendServer::recordFailure()
+{
+    ++m_consecutiveFailures;
+    if (m_consecutiveFailures < failuresBeforeEjection)
+        return;
+    const int doublings = std::min(m_consecutiveFailures - failuresBeforeEjection, 3);
+    m_ejectedUntil = m_clock.now() + std::min(longestEjection, shortestEjection * (1 << doublings));
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "../net/ConnectionPool.h"
+
+#include <borageslip_core/time/Clock.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace borageslip {
+
+/** What the platform's list says of a backend server. */
+struct ServerDescription {
+    std::string id;
+    std::string service;
+    std::string failureDomain;
+    boost::asio::ip::tcp::endpoint address;
+    int slots = 0;
+    bool isDraining = false;
+    std::chrono::milliseconds coldLeft { 0 }; ///< How much longer it works slowly after its start.
+    int64_t startedAtMs = 0; ///< Unix time of its start; a later one under the same id is a new incarnation.
+
+    bool operator==(const ServerDescription&) const = default;
+};
+
+/** One incarnation of a backend server, as this instance knows it.
+    Owned by the ServerTable and by the requests that it serves; call it from the event loop. */
+class BackendServer {
+public:
+    BackendServer(ServerDescription, const Clock&, const boost::asio::any_io_executor&);
+
+    const ServerDescription& description() const { return m_description; }
+    uint64_t hash() const { return m_hash; }
+    ConnectionPool& pool() { return m_pool; }
+
+    /** Whether new work may be sent to it. */
+    bool isInService() const { return !m_isRemoved && !m_description.isDraining; }
+    bool isCold(TimePoint now) const { return now < m_coldUntil; }
+
+    /** Whether it has failed lately and is left alone until it may be tried again. */
+    bool isEjected(TimePoint now) const { return now < m_ejectedUntil; }
+
+    void update(ServerDescription);
+    void remove();
+    bool isRemoved() const { return m_isRemoved; }
+
+    /** Requests of this instance at it. */
+    int ownInFlight() const { return m_ownInFlight; }
+
+    /** Requests of all instances at it, as far as known. */
+    int inFlight() const { return m_ownInFlight + m_peersInFlight; }
+    void setPeersInFlight(int count) { m_peersInFlight = count; }
+    void beginRequest() { ++m_ownInFlight; }
+    void endRequest() { --m_ownInFlight; }
+
+    /** Prompt tokens that this instance has sent to it and of which no first event has come back. */
+    int64_t pendingPrefill() const { return m_pendingPrefill; }
+    void addPendingPrefill(int64_t tokens) { m_pendingPrefill += tokens; }
+
+    void recordSuccess();
+
+    /** Records that it could not be reached or broke off an answer, and ejects it when that repeats. */
+    void recordFailure();
+
+private:
+    void setCold(std::chrono::milliseconds left);
+
+    ServerDescription m_description;
+    const Clock& m_clock;
+    uint64_t m_hash;
+    ConnectionPool m_pool;
+    bool m_isRemoved = false;
+    int m_ownInFlight = 0;
+    int m_peersInFlight = 0;
+    int64_t m_pendingPrefill = 0;
+    int m_consecutiveFailures = 0;
+    TimePoint m_coldUntil {};
+    TimePoint m_ejectedUntil {};
+};
+
+using BackendServerPtr = std::shared_ptr<BackendServer>;
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -0,0 +1,88 @@
+#include "ServerTable.h"
+
+#include <borageslip_core/logging/Log.h>
+
+namespace borageslip {
+
+namespace {
+
+    constexpr Duration lapseGrace = std::chrono::milliseconds(2200); ///< Entries return within about two seconds.
+
+}
+
+ServerTable::ServerTable(const Clock& clock, boost::asio::any_io_executor executor)
+    : m_clock(clock)
+    , m_executor(std::move(executor))
+{
+}
+
+void ServerTable::apply(ServerDescription description)
+{
+    m_lapsedUntil.erase(description.id);
+    const auto found = m_servers.find(description.id);
+    if (found == m_servers.end()) {
+        add(std::move(description));
+        return;
+    }
+    const auto& known = found->second->description();
+    const bool isSameIncarnation = known.startedAtMs == description.startedAtMs && known.address == description.address && known.service == description.service;
+    if (isSameIncarnation) {
+        found->second->update(std::move(description));
+        return;
+    }
+    remove(description.id);
+    add(std::move(description));
+}
+
+void ServerTable::add(ServerDescription description)
+{
+    logEvent(Severity::Info, "server-added", { { "server", description.id }, { "service", description.service }, { "draining", description.isDraining } });
+    auto server = std::make_shared<BackendServer>(std::move(description), m_clock, m_executor);
+    m_servers.emplace(server->description().id, server);
+    m_ofService[server->description().service].push_back(std::move(server));
+}
+
+void ServerTable::remove(std::string_view id)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    const auto server = found->second;
+    logEvent(Severity::Info, "server-removed", { { "server", id } });
+    m_lapsedUntil.erase(std::string(id));
+    server->remove();
+    std::erase(m_ofService[server->description().service], server);
+    m_servers.erase(found);
+}
+
+void ServerTable::removeAfterGrace(std::string_view id)
+{
+    if (m_servers.find(id) != m_servers.end())
+        m_lapsedUntil.try_emplace(std::string(id), m_clock.now() + lapseGrace);
+}
+
+void ServerTable::removeLapsed()
+{
+    const auto now = m_clock.now();
+    std::vector<std::string> over;
+    for (const auto& [id, until] : m_lapsedUntil) {
+        if (now >= until)
+            over.push_back(id);
+    }
+    for (const auto& id : over)
+        remove(id);
+}
+
+std::span<const BackendServerPtr> ServerTable::ofService(std::string_view service) const
+{
+    const auto found = m_ofService.find(service);
+    return found == m_ofService.end() ? std::span<const BackendServerPtr>() : std::span<const BackendServerPtr>(found->second);
+}
+
+void ServerTable::closeStaleConnections()
+{
+    for (const auto& [id, server] : m_servers)
+        server->pool().closeStale();
+}
+
+}
--- /dev/null
+++ b/tests/platform/platform_standin.py
@@ -0,0 +1,266 @@
+"""Stand-in of the users' platform for tests: a key-value store with watches and leases, and backend servers.
+
+It speaks the calls that borageslip-entry uses, on loopback, and can be told to misbehave. Not part of the product.
+"""
+import asyncio
+import base64
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+
+async def read_message(reader):
+    """Returns (start line, headers, body), or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return lines[0], headers, body
+
+
+def response(status, body=b"", headers=()):
+    text = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    text += "".join(f"{name}: {value}\r\n" for name, value in headers)
+    return text.encode() + b"\r\n" + body
+
+
+class Store:
+    """Keys with revisions, a history for watches, and leases."""
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.revision = 10
+        self.leases = {}
+        self.next_lease = 100
+        self.is_down = False
+        self.oldest = 0
+        self.changed = asyncio.Event()
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        item = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision, "created": self.revision, "lease": lease}
+        self.items[key] = item
+        self._note(item)
+
+    def remove(self, key):
+        if key not in self.items:
+            return
+        self.revision += 1
+        del self.items[key]
+        self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def put_json(self, key, document):
+        self.put(key, json.dumps(document).encode())
+
+    def forget_history(self):
+        self.history.clear()
+        self.oldest = self.revision
+
+    def _note(self, event):
+        self.history.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _expire(self):
+        now = time.monotonic()
+        for lease in [number for number, entry in self.leases.items() if entry["until"] < now]:
+            self._end(lease)
+
+    def _end(self, lease):
+        self.leases.pop(lease, None)
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            self.remove(key)
+
+    async def answer(self, line, body):
+        method, target, _ = line.split(" ")
+        url = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
+        self._expire()
+        call = url.path.split("/")[2]
+        if call == "kv-range":
+            items = [item for key, item in sorted(self.items.items()) if key.startswith(query["path_prefix"]) and key > query.get("after", "")]
+            return response(200, json.dumps({"items": items, "more_pages": False, "as_of": self.revision}).encode())
+        if call == "kv-watch":
+            return await self._watch(query)
+        if call == "kv-lease":
+            self.next_lease += 1
+            time_to_live = json.loads(body)["ttl_ms"]
+            self.leases[self.next_lease] = {"ttl": time_to_live / 1000, "until": time.monotonic() + time_to_live / 1000}
+            return response(200, json.dumps({"lease": self.next_lease, "ttl_ms": time_to_live}).encode())
+        if call == "kv-keep":
+            entry = self.leases.get(int(url.path.split("/")[3]))
+            if entry is None:
+                return response(404)
+            entry["until"] = time.monotonic() + entry["ttl"]
+            return response(200, b"{}")
+        if call == "kv-lease-end":
+            self._end(int(url.path.split("/")[3]))
+            return response(200, b"{}")
+        if call == "kv-txn":
+            for row in json.loads(body)["puts"]:
+                if row["lease"] and row["lease"] not in self.leases:
+                    return response(404)
+                self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
+            return response(200, json.dumps({"revision": self.revision}).encode())
+        return response(404)
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            self._expire()
+            if after < self.oldest:
+                return response(410)
+            events = [event for event in self.history if event["revision"] > after and event["key"].startswith(query["path_prefix"])]
+            left = deadline - time.monotonic()
+            if events or left <= 0:
+                return response(200, json.dumps({"events": events, "as_of": self.revision}).encode())
+            try:
+                await asyncio.wait_for(self.changed.wait(), min(left, 0.2))
+            except asyncio.TimeoutError:
+                pass
+
+    async def serve(self, reader, writer):
+        while True:
+            message = await read_message(reader)
+            if message is None:
+                break
+            if self.is_down:
+                await asyncio.sleep(3600)
+            writer.write(await self.answer(message[0], message[2]))
+            await writer.drain()
+        writer.close()
+
+
+class BackendServer:
+    """Answers plain requests and streams; `behaviour` names how it misbehaves."""
+
+    def __init__(self, identity):
+        self.identity = identity
+        self.behaviour = "sound"
+        self.runs = []
+        self.finished = 0
+        self.pieces = 5
+        self.piece_delay = 0.02
+        self.address = None
+
+    async def serve(self, reader, writer):
+        try:
+            await self._serve(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        writer.close()
+
+    async def _serve(self, reader, writer):
+        while True:
+            message = await read_message(reader)
+            if message is None:
+                return
+            line, headers, body = message
+            if headers.get("x-expect-instance") != self.identity:
+                writer.write(response(421, headers=[("X-Instance-Id", self.identity)]))
+                continue
+            own = [("X-Request-Id", headers.get("x-request-id", "")), ("X-Response-Seal", "seal-" + self.identity)]
+            if self.behaviour == "full":
+                writer.write(response(503, headers=own + [("X-Not-Executed", "1")]))
+                continue
+            self.runs.append((line, headers, body))
+            if self.behaviour == "lost":
+                return
+            if self.behaviour == "failing":
+                writer.write(response(500, b"failed", own))
+            elif self.behaviour == "truncated":
+                writer.write(response(200, b"x" * 100, own)[:-50])
+                return
+            elif self.behaviour == "foreign":
+                writer.write(response(200, b"foreign", [("X-Request-Id", "another"), ("X-Response-Seal", "foreign")]))
+                writer.write(response(200, b"own", own))
+            elif self.behaviour == "extra":
+                writer.write(response(200, b"own", own))
+                writer.write(response(200, b"extra", own))
+            elif self.behaviour == "unframed":
+                writer.write("".join(["HTTP/1.1 200 OK\r\n"] + [f"{name}: {value}\r\n" for name, value in own] + ["\r\nunframed"]).encode())
+                return
+            elif "/stream/" in line:
+                if not await self._stream(headers, own, writer):
+                    return
+            else:
+                writer.write(response(200, b"ran " + body, own))
+            await writer.drain()
+            self.finished += 1
+
+    async def _stream(self, headers, own, writer):
+        """Returns whether the connection may go on."""
+        writer.write("".join(["HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"] + [f"{name}: {value}\r\n" for name, value in own] + ["\r\n"]).encode())
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.pieces + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if self.behaviour == "breaks-stream" and number == 3:
+                torn = event[:7]
+                writer.write(f"{len(torn):x}\r\n".encode() + torn + b"\r\n")
+                await writer.drain()
+                return False
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(self.piece_delay)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    def entry(self, service, state="ready", **changes):
+        fields = {"backend": service, "address": self.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "sequence": 1, "born": 1000}
+        return {**fields, **changes}
+
+
+def configuration(version, **changes):
+    """A configuration with a route of each kind."""
+
+    def route(name, kind, **more):
+        fields = {"name": name, "host": "app.example", "path_prefix": f"/{name}/", "route_type": kind, "timeout_ms": 2000, "target_latency_ms": 500, "priority": 1, "backend": "pool", "max_attempts": 2, "allow_anonymous": False, "sticky": False, "stream_resume": False}
+        return {**fields, **more}
+
+    document = {
+        "version": version,
+        "routes": [
+            route("read", "idempotent"),
+            route("book", "non_idempotent", max_attempts=1),
+            route("stream", "streaming", max_attempts=2, stream_resume=True),
+            route("once", "streaming", max_attempts=1),
+            route("open", "idempotent", allow_anonymous=True),
+        ],
+        "backends": [{"name": "pool", "health_check": "/health", "max_connections": 100, "protocol": "h1", "tls": False}],
+        "limits": {"max_header_bytes": 4096, "max_body_bytes": 65536, "header_timeout_ms": 800, "idle_timeout_ms": 3000},
+        "tenants": [{"name": "account-1", "api_keys": ["key-1", "key-2"], "priority": 1}],
+    }
+    return {**document, **changes}
+
+
+async def start_server(handler):
+    server = await asyncio.start_server(handler, "127.0.0.1", 0, backlog=200)
+    port = server.sockets[0].getsockname()[1]
+    return server, f"127.0.0.1:{port}"
+
+
+def settings(store_address, front, ready, directory, peer_port, name="entry-1", **bounds):
+    return {
+        "node_name": name,
+        "role": "entry",
+        "ip": "127.0.0.1",
+        "zone": "zone-a",
+        "region": "region",
+        "zones": {"zone-a": "region"},
+        "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}", "directory": f"127.0.0.1:{directory}"},
+        "internal_ports": [peer_port, peer_port + 5],
+        "limits": {"max_fds": 1024},
+        "bounds": {"grace_s": 3, "ttl_max_s": 5, "drain_ms": 2000, "revoke_fail_closed": True, "revoke_ms": 3000, "retry_budget_ratio": 0.2, "budget_min_retries": 90, "budget_window_s": 10, "cap_factor": 2, **bounds},
+        "provider": {"address": store_address},
+    }
