--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr Duration lapseGrace = std::chrono::milliseconds(2200); ///< Entries return within about two seconds.
+    constexpr Duration lapseGrace = std::chrono::seconds(2); ///< Entries that expired in an outage return within about that time.
 
 }
 
