Take no new requests while the end of a stopping instance is near

Ruled out by reading: the drain of idle connections; a request whose bytes are not read does not count.

--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -79,6 +79,8 @@
 
 Result<AdmittedRequest> TrafficEngine::admit(const HttpRequest& request, const RequestFacts& facts) const
 {
+    if (m_refusesNewRequests)
+        return Error { ErrorKind::Draining, "this instance is about to end" };
     if (!m_configuration)
         return Error { ErrorKind::NoConfiguration, "this instance has not read a configuration yet" };
     const auto host = request[boost::beast::http::field::host];
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -62,6 +62,9 @@
     /** Puts a configuration in force; one with a lower version than the present one is ignored. */
     void setConfiguration(TrafficConfigurationPtr);
 
+    /** Refuses all further requests as not run, because this instance is about to end. */
+    void refuseNewRequests() { m_refusesNewRequests = true; }
+
     /** Records that the configuration in force was the store's newest at that time. */
     void confirmConfiguration(TimePoint at) { m_confirmedAt = std::max(m_confirmedAt, at); }
     const TrafficConfigurationPtr& configuration() const { return m_configuration; }
@@ -70,7 +73,7 @@
     bool mayTrustKeys() const;
 
     /** Finds the route and the client account of a request.
-        Errors: NoConfiguration, NotFound, StoreUnavailable, Unauthenticated. */
+        Errors: Draining, NoConfiguration, NotFound, StoreUnavailable, Unauthenticated. */
     Result<AdmittedRequest> admit(const HttpRequest&, const RequestFacts&) const;
 
     /** Chooses a backend server that has a place. @param excluded hashes of those that had the request before. */
@@ -106,6 +109,7 @@
     TrafficSettings m_settings;
     TrafficConfigurationPtr m_configuration;
     TimePoint m_confirmedAt {};
+    bool m_refusesNewRequests = false;
     ServerTable m_servers;
     std::map<std::string, RequestQueue, std::less<>> m_queues;
     std::map<std::string, FleetRetryBudget, std::less<>> m_retryBudgets;
