--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -154,7 +154,8 @@
         const bool hasReceived = co_await m_received.waitFor(std::max(left, Duration::zero()));
         if (!hasReceived) {
             m_keepsConnection = false;
-            co_await refuse({ ErrorKind::RequestTimeout, "the request did not arrive in time" });
+            const Error late { ErrorKind::RequestTimeout, "the request did not arrive in time" };
+            co_await refuse(late);
             co_return false;
         }
     }
--- a/modules/borageslip_traffic/http/HttpMessages.cpp
+++ b/modules/borageslip_traffic/http/HttpMessages.cpp
@@ -118,7 +118,8 @@
     if (isDone())
         return ok();
     boost::beast::error_code failure;
-    m_parser->put_eof(failure);
+    if (hasHead())
+        m_parser->put_eof(failure);
     if (failure || !isDone())
         return Error { ErrorKind::InvalidMessage, "the connection ended before the answer was complete" };
     return ok();
--- /dev/null
+++ b/tests/borageslip_traffic/HttpMessagesTests.cpp
@@ -0,0 +1,141 @@
+#include <borageslip_traffic/http/HttpMessages.h>
+
+#include <catch2/catch.hpp>
+
+using namespace borageslip;
+
+namespace {
+
+constexpr uint32_t maxHeader = 400;
+constexpr uint64_t maxBody = 50;
+
+ErrorKind refusalOf(std::string bytes)
+{
+    RequestReader reader(maxHeader, maxBody);
+    const auto fed = reader.feed(bytes);
+    REQUIRE_FALSE(isOk(fed));
+    return error(fed).kind;
+}
+
+}
+
+TEST_CASE("a request that arrives byte by byte is read whole")
+{
+    const std::string text = "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    RequestReader reader(maxHeader, maxBody);
+    std::string buffer;
+    for (const char byte : text) {
+        REQUIRE_FALSE(reader.isDone());
+        buffer.push_back(byte);
+        REQUIRE(isOk(reader.feed(buffer)));
+    }
+    REQUIRE(reader.isDone());
+    const auto request = reader.take();
+    CHECK(request.body() == "abcde");
+    CHECK(request.target() == "/a/b?c=1");
+}
+
+TEST_CASE("bytes after a request stay for the next one")
+{
+    std::string buffer = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\nGET /b/ HTTP/1.1\r\n";
+    RequestReader reader(maxHeader, maxBody);
+    REQUIRE(isOk(reader.feed(buffer)));
+    REQUIRE(reader.isDone());
+    CHECK(buffer == "GET /b/ HTTP/1.1\r\n");
+}
+
+TEST_CASE("a request whose length can be read in two ways is refused, since another request could hide in it")
+{
+    CHECK(refusalOf("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == ErrorKind::MalformedRequest);
+    CHECK(refusalOf("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd") == ErrorKind::MalformedRequest);
+    CHECK(refusalOf("POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n") == ErrorKind::MalformedRequest);
+    CHECK(refusalOf("POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, chunked\r\n\r\n") == ErrorKind::MalformedRequest);
+    CHECK(refusalOf("POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n") == ErrorKind::MalformedRequest);
+}
+
+TEST_CASE("a request without one host or with a target that is no path is refused")
+{
+    CHECK(refusalOf("GET /a/ HTTP/1.1\r\n\r\n") == ErrorKind::MalformedRequest);
+    CHECK(refusalOf("GET /a/ HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n") == ErrorKind::MalformedRequest);
+    CHECK(refusalOf("GET http://h/a/ HTTP/1.1\r\nHost: h\r\n\r\n") == ErrorKind::MalformedRequest);
+}
+
+TEST_CASE("a request over the limits is refused by kind")
+{
+    CHECK(refusalOf("GET /a/ HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(500, 'x') + "\r\n\r\n") == ErrorKind::HeaderTooLarge);
+    CHECK(refusalOf("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 51\r\n\r\n") == ErrorKind::RequestTooLarge);
+}
+
+TEST_CASE("an answer that ends before its length is not complete")
+{
+    AnswerReader reader(AnswerReader::Body::Expected);
+    std::string buffer = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc";
+    REQUIRE(isOk(reader.feed(buffer)));
+    CHECK_FALSE(reader.isDone());
+    CHECK_FALSE(isOk(reader.endOfInput()));
+}
+
+TEST_CASE("a connection that ends before any byte of an answer has brought none")
+{
+    AnswerReader reader(AnswerReader::Body::Expected);
+    CHECK_FALSE(isOk(reader.endOfInput()));
+    CHECK_FALSE(reader.isDone());
+}
+
+TEST_CASE("an answer without a length is complete when its connection ends in order")
+{
+    AnswerReader reader(AnswerReader::Body::Expected);
+    std::string buffer = "HTTP/1.1 200 OK\r\n\r\nabc";
+    REQUIRE(isOk(reader.feed(buffer)));
+    CHECK_FALSE(reader.isDone());
+    CHECK(reader.framing() == BodyFraming::UntilClose);
+    CHECK(isOk(reader.endOfInput()));
+    CHECK(reader.takeBody() == "abc");
+}
+
+TEST_CASE("bytes after a complete answer are left over and can be noticed")
+{
+    AnswerReader reader(AnswerReader::Body::Expected);
+    std::string buffer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n";
+    REQUIRE(isOk(reader.feed(buffer)));
+    CHECK(reader.isDone());
+    CHECK(reader.takeBody() == "abc");
+    CHECK(buffer == "HTTP/1.1 200 OK\r\n");
+}
+
+TEST_CASE("bytes that are no answer are an error, and an interim answer is passed over")
+{
+    AnswerReader garbage(AnswerReader::Body::Expected);
+    std::string bytes = "not an answer\r\n\r\n";
+    CHECK_FALSE(isOk(garbage.feed(bytes)));
+
+    AnswerReader reader(AnswerReader::Body::Expected);
+    std::string buffer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+    REQUIRE(isOk(reader.feed(buffer)));
+    REQUIRE(reader.isDone());
+    CHECK(reader.head().result_int() == 204);
+}
+
+TEST_CASE("the body of a stream is handed over as it arrives")
+{
+    AnswerReader reader(AnswerReader::Body::Expected);
+    std::string buffer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n";
+    REQUIRE(isOk(reader.feed(buffer)));
+    CHECK(reader.takeBody() == "ab");
+    buffer += "1\r\nc\r\n0\r\n\r\n";
+    REQUIRE(isOk(reader.feed(buffer)));
+    CHECK(reader.takeBody() == "c");
+    CHECK(reader.isDone());
+}
+
+TEST_CASE("fields that concern one connection are removed, with those that the Connection field names")
+{
+    boost::beast::http::fields fields;
+    fields.insert("Connection", "keep-alive, X-Private");
+    fields.insert("X-Private", "1");
+    fields.insert("Keep-Alive", "timeout=5");
+    fields.insert("X-Public", "2");
+    removeConnectionFields(fields);
+    CHECK(fields.count("X-Public") == 1);
+    CHECK(std::distance(fields.begin(), fields.end()) == 1);
+}
--- /dev/null
+++ b/tests/borageslip_traffic/PolicyTests.cpp
@@ -0,0 +1,223 @@
+#include <borageslip_core/borageslip_core.h>
+#include <borageslip_traffic/borageslip_traffic.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+using namespace borageslip;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<ServerCandidate> candidatesOf(const std::vector<int>& loads)
+{
+    std::vector<ServerCandidate> candidates;
+    for (size_t i = 0; i < loads.size(); ++i)
+        candidates.push_back({ hashBytes("server" + std::to_string(i)), loads[i], 96 });
+    return candidates;
+}
+
+}
+
+TEST_CASE("requests with the same prefix go to the same server at every instance")
+{
+    auto candidates = candidatesOf({ 2, 2, 2, 2 });
+    const auto first = chooseServer(candidates, 77, 1);
+    REQUIRE(first);
+    CHECK(chooseServer(candidates, 77, 2) == first);
+    std::swap(candidates.front(), candidates.back());
+    CHECK(candidates[*chooseServer(candidates, 77, 3)].hash == candidatesOf({ 2, 2, 2, 2 })[*first].hash);
+}
+
+TEST_CASE("a popular prefix spreads to further servers when its own one is over the bound")
+{
+    auto candidates = candidatesOf({ 1, 1, 1, 1 });
+    const auto home = *chooseServer(candidates, 77, 1);
+    candidates[home].inFlight = 40;
+    const auto second = chooseServer(candidates, 77, 1);
+    REQUIRE(second);
+    CHECK(*second != home);
+}
+
+TEST_CASE("no server gets work over the cap on skew, whatever the choice is based on")
+{
+    std::minstd_rand random(11);
+    for (int round = 0; round < 2000; ++round) {
+        std::vector<int> loads;
+        for (int i = 0; i < 9; ++i)
+            loads.push_back(static_cast<int>(random() % 30));
+        const auto candidates = candidatesOf(loads);
+        double mean = 0;
+        for (const auto load : loads)
+            mean += load / 9.0;
+        const auto chosen = chooseServer(candidates, random() % 3, random());
+        REQUIRE(chosen);
+        CHECK(candidates[*chosen].inFlight <= 2 * mean + 3);
+    }
+}
+
+TEST_CASE("a request is not sent again to a server that had it, nor to one without a slot")
+{
+    auto candidates = candidatesOf({ 0, 0 });
+    candidates[0].isExcluded = true;
+    CHECK(chooseServer(candidates, 0, 5) == 1);
+    candidates[1].slots = 4;
+    candidates[1].inFlight = 4;
+    CHECK_FALSE(chooseServer(candidates, 0, 5));
+}
+
+TEST_CASE("a server that fails is left alone while others have places, and is used when none has")
+{
+    auto candidates = candidatesOf({ 0, 3 });
+    candidates[0].isEjected = true;
+    CHECK(chooseServer(candidates, 0, 5) == 1);
+    candidates[1].isExcluded = true;
+    CHECK(chooseServer(candidates, 0, 5) == 0);
+}
+
+TEST_CASE("nine instances keep the shared retry budget under a mass failure")
+{
+    // Every request fails at first and asks for a repeat; the load is uneven between the instances.
+    constexpr double ratio = 0.2;
+    constexpr double reserve = 58;
+    const FleetRetryBudget::Limits limits { ratio, reserve, 10s };
+    std::vector<FleetRetryBudget> instances(9, FleetRetryBudget(limits));
+    for (auto& instance : instances)
+        instance.setInstanceCount(9);
+    ManualClock clock;
+    std::minstd_rand random(7);
+    std::vector<std::pair<TimePoint, int>> requests;
+    std::vector<std::pair<TimePoint, int>> retries;
+    for (int step = 0; step < 6000; ++step) {
+        clock.advance(5ms);
+        const auto instance = random() % 3 == 0 ? random() % 9 : 0;
+        instances[instance].recordRequest(clock.now());
+        requests.emplace_back(clock.now(), 1);
+        if (instances[instance].tryRetry(clock.now()))
+            retries.emplace_back(clock.now(), 1);
+        const auto inWindow = [&](const auto& events) {
+            return std::count_if(events.begin(), events.end(), [&](const auto& event) { return clock.now() - event.first < 10s; });
+        };
+        REQUIRE(static_cast<double>(inWindow(retries)) <= ratio * static_cast<double>(inWindow(requests)) + reserve);
+    }
+    CHECK(retries.size() > 100);
+}
+
+TEST_CASE("waiting requests leave by account, then route, then the time left")
+{
+    boost::asio::io_context context;
+    Signal signal(context.get_executor());
+    RequestQueue queue;
+    const TimePoint start {};
+    const WaitingRequest lowAccount { 2, 0, start + 1s, 1, &signal };
+    const WaitingRequest lowRoute { 1, 2, start + 1s, 2, &signal };
+    const WaitingRequest later { 1, 1, start + 3s, 3, &signal };
+    const WaitingRequest sooner { 1, 1, start + 2s, 4, &signal };
+    for (const auto& request : { lowAccount, lowRoute, later, sooner })
+        queue.add(request);
+    for (const auto& expected : { sooner, later, lowRoute, lowAccount }) {
+        CHECK(queue.isFirst(expected));
+        queue.remove(expected);
+    }
+    CHECK(queue.isEmpty());
+}
+
+TEST_CASE("a broken stream goes on after its last whole event")
+{
+    EventFilter filter;
+    CHECK(filter.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    CHECK(filter.lastEventId() == "1");
+    CHECK(filter.feed("ta: b\n\nid: 3\r\ndata") == "id: 2\ndata: b\n\n");
+    filter.dropPartialEvent();
+    CHECK(filter.feed("id: 3\r\ndata: c\r\n\r\n") == "id: 3\r\ndata: c\r\n\r\n");
+    CHECK(filter.lastEventId() == "3");
+}
+
+TEST_CASE("a peer's report survives its encoding, and bytes that are none are refused")
+{
+    const PeerReport report { "entry-1", 12, 34, true, { { 0xfeedfacecafebeefU, 7 }, { 1, 2 } } };
+    const auto bytes = encodePeerReport(report);
+    const auto decoded = decodePeerReport(bytes);
+    REQUIRE(isOk(decoded));
+    CHECK(value(decoded) == report);
+    for (size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(isOk(decodePeerReport(std::span(bytes).first(length))));
+}
+
+TEST_CASE("reports of silent peers do not count, and an older report does not replace a newer one")
+{
+    ManualClock clock;
+    PeerBoard board(1s);
+    board.apply({ "a", 1, 5, true, { { 9, 3 } } }, clock.now());
+    board.apply({ "a", 1, 4, false, { { 9, 8 } } }, clock.now());
+    board.apply({ "b", 1, 1, true, { { 9, 2 } } }, clock.now());
+    CHECK(board.uses(clock.now()).at(9) == 5);
+    CHECK(board.takesCallers("a"));
+    clock.advance(1100ms);
+    CHECK(board.uses(clock.now()).empty());
+    CHECK(board.heardCount(clock.now()) == 0);
+    // A restarted process begins its sequence anew.
+    board.apply({ "a", 2, 1, false, {} }, clock.now());
+    CHECK(board.isHeard("a", clock.now()));
+    CHECK_FALSE(board.takesCallers("a"));
+}
+
+TEST_CASE("a server whose entry is missing after an outage is kept until its grace is over, unless it returns")
+{
+    boost::asio::io_context context;
+    ManualClock clock;
+    ServerTable table(clock, context.get_executor());
+    ServerDescription server;
+    server.service = "pool";
+    for (const auto* id : { "stays", "goes" }) {
+        server.id = id;
+        table.apply(server);
+        table.removeAfterGrace(id);
+    }
+    table.removeLapsed();
+    CHECK(table.ofService("pool").size() == 2);
+    server.id = "stays";
+    table.apply(server);
+    clock.advance(2100ms);
+    table.removeLapsed();
+    REQUIRE(table.ofService("pool").size() == 1);
+    CHECK(table.ofService("pool").front()->description().id == "stays");
+}
+
+TEST_CASE("a new incarnation under the same identity replaces the server and what was known of it")
+{
+    boost::asio::io_context context;
+    ManualClock clock;
+    ServerTable table(clock, context.get_executor());
+    ServerDescription server;
+    server.id = "s";
+    server.service = "pool";
+    server.startedAtMs = 1;
+    table.apply(server);
+    const auto first = table.ofService("pool").front();
+    first->beginRequest();
+    server.startedAtMs = 2;
+    table.apply(server);
+    CHECK_FALSE(first->isInService());
+    CHECK(table.ofService("pool").front()->inFlight() == 0);
+}
+
+TEST_CASE("a server is ejected after repeated failures, for a bounded time, and returns with a success")
+{
+    boost::asio::io_context context;
+    ManualClock clock;
+    BackendServer server({}, clock, context.get_executor());
+    server.recordFailure();
+    CHECK_FALSE(server.isEjected(clock.now()));
+    server.recordFailure();
+    CHECK(server.isEjected(clock.now()));
+    for (int i = 0; i < 20; ++i)
+        server.recordFailure();
+    clock.advance(4001ms);
+    CHECK_FALSE(server.isEjected(clock.now()));
+    server.recordFailure();
+    CHECK(server.isEjected(clock.now()));
+    server.recordSuccess();
+    CHECK_FALSE(server.isEjected(clock.now()));
+}
--- /dev/null
+++ b/tests/platform/PlatformDocumentsTests.cpp
@@ -0,0 +1,149 @@
+#include <platform/Documents.h>
+#include <platform/PlatformProtocol.h>
+#include <platform/PlatformSettings.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+
+using namespace borageslip;
+using namespace borageslip::platform;
+using nlohmann::json;
+
+namespace {
+
+json serverEntry()
+{
+    return { { "backend", "pool" }, { "address", "10.0.0.1:80" }, { "zone", "a" }, { "slots", 6 }, { "state", "ready" }, { "born", 1234 } };
+}
+
+json settingsDocument()
+{
+    return json::parse(R"({"node_name":"n","zone":"a","ip":"10.0.0.1","listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
+        "internal_ports":[7340,7355],"limits":{"max_fds":4100},"provider":{"address":"10.0.0.9:8"},
+        "bounds":{"grace_s":8,"revoke_fail_closed":true,"revoke_ms":5000,"retry_budget_ratio":0.2,"budget_min_retries":58}})");
+}
+
+json configurationDocument()
+{
+    return json::parse(R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/","route_type":"streaming","timeout_ms":6000,
+        "target_latency_ms":800,"priority":0,"traffic_split":[{"backend":"p","weight":90},{"backend":"q","weight":10}],"max_attempts":2,
+        "sticky":true,"stream_resume":true,"gap_target_ms":400}],"backends":[{"name":"p","engine":{"slots":96,"kv_capacity":1000}},{"name":"q"}],
+        "limits":{"max_header_bytes":100},"tenants":[{"name":"t","api_keys":["k"],"priority":1}],"unknown":{}})");
+}
+
+}
+
+TEST_CASE("a configuration becomes the fleet's own types")
+{
+    const auto parsed = parseConfiguration(configurationDocument().dump());
+    REQUIRE(isOk(parsed));
+    const auto& configuration = value(parsed);
+    CHECK(configuration.version() == 7);
+    const auto* route = configuration.route("h", "/a/x");
+    REQUIRE(route != nullptr);
+    CHECK(route->kind == RequestKind::Stream);
+    CHECK(route->services.size() == 2);
+    CHECK(route->isResumable);
+    CHECK(route->reusesPrefixes);
+    CHECK(configuration.service("p")->engine->slots == 96);
+    CHECK(configuration.limits().maxHeaderBytes == 100);
+    CHECK(configuration.accountOfKey("k")->name == "t");
+}
+
+TEST_CASE("a configuration with a field missing or of another type is an error, never a default")
+{
+    for (const auto* name : { "version", "routes", "backends" }) {
+        auto document = configurationDocument();
+        document.erase(name);
+        CHECK_FALSE(isOk(parseConfiguration(document.dump())));
+        document[name] = "text";
+        CHECK_FALSE(isOk(parseConfiguration(document.dump())));
+    }
+    auto unknownKind = configurationDocument();
+    unknownKind["routes"][0]["route_type"] = "other";
+    CHECK_FALSE(isOk(parseConfiguration(unknownKind.dump())));
+}
+
+TEST_CASE("a server's entry with a field missing, of another type or with an unknown state names no server")
+{
+    REQUIRE(isOk(parseServerEntry("i", serverEntry().dump())));
+    CHECK(value(parseServerEntry("i", serverEntry().dump())).startedAtMs == 1234);
+    for (const auto* name : { "backend", "address", "zone", "slots", "state" }) {
+        auto entry = serverEntry();
+        entry.erase(name);
+        CHECK_FALSE(isOk(parseServerEntry("i", entry.dump())));
+        entry[name] = json::array();
+        CHECK_FALSE(isOk(parseServerEntry("i", entry.dump())));
+    }
+    auto entry = serverEntry();
+    entry["state"] = "resting";
+    CHECK_FALSE(isOk(parseServerEntry("i", entry.dump())));
+}
+
+TEST_CASE("settings with a field missing or malformed are refused with its name")
+{
+    REQUIRE(isOk(parseSettings(settingsDocument().dump())));
+    CHECK(value(parseSettings(settingsDocument().dump())).refusesKeysWhenCutOff);
+    for (const auto* name : { "node_name", "zone", "ip", "listen", "internal_ports", "limits", "provider", "bounds" }) {
+        auto document = settingsDocument();
+        document.erase(name);
+        const auto parsed = parseSettings(document.dump());
+        REQUIRE_FALSE(isOk(parsed));
+        CHECK(error(parsed).kind == ErrorKind::InvalidSettings);
+        CHECK(error(parsed).detail.find(name) != std::string::npos);
+    }
+}
+
+TEST_CASE("parsers of bytes from outside take any bytes")
+{
+    std::minstd_rand random(20261204);
+    const std::string texts[] { configurationDocument().dump(), serverEntry().dump(), settingsDocument().dump() };
+    for (int round = 0; round < 6000; ++round) {
+        auto text = texts[random() % 3];
+        for (size_t changes = random() % 6; changes > 0; --changes) {
+            const auto position = random() % text.size();
+            if (random() % 2 == 0)
+                text[position] = static_cast<char>(random());
+            else
+                text.erase(position, random() % 8);
+            if (text.empty())
+                break;
+        }
+        parseConfiguration(text);
+        parseServerEntry("i", text);
+        parseSettings(text);
+        parseMemberRecord("m", text);
+    }
+    SUCCEED();
+}
+
+TEST_CASE("a member's record survives the store")
+{
+    const Member member { "n", "a", { boost::asio::ip::make_address("10.0.0.1"), 5 }, { boost::asio::ip::make_address("10.0.0.1"), 6 } };
+    const auto parsed = parseMemberRecord("n", memberRecord(member));
+    REQUIRE(isOk(parsed));
+    CHECK(value(parsed) == member);
+}
+
+TEST_CASE("what a request and an answer state is read, and malformed fields count as not stated")
+{
+    const PlatformProtocol protocol;
+    HttpFields request;
+    request.insert("X-Request-Id", "id");
+    request.insert("X-Deadline-Ms", "600x");
+    request.insert("X-Token-Usage", "1460,80");
+    request.insert("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+    const auto facts = protocol.requestFacts(request);
+    CHECK_FALSE(facts.timeLeft);
+    CHECK(facts.promptTokens == 1460);
+    REQUIRE(facts.promptParts.size() == 2);
+    CHECK(facts.promptParts[1].id == 0x91bd3f06);
+
+    HttpFields answer;
+    answer.insert("X-Instance-Load", "3,0,8,120");
+    const auto stated = protocol.answerFacts(421, answer);
+    CHECK(stated.isMisdirected);
+    REQUIRE(stated.load);
+    CHECK(stated.load->slownessPercent == 120);
+}
--- /dev/null
+++ b/tests/platform/entry_test.py
@@ -0,0 +1,399 @@
+#!/usr/bin/env python3
+"""Runs borageslip-entry against stand-ins of the platform on loopback and checks what callers and backend servers see.
+
+Each case names the failure that it guards against. Ends with the number of failed cases; bounded in time.
+"""
+import argparse
+import asyncio
+import json
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+from platform_standin import BackendServer, Store, configuration, settings, start_server  # noqa: E402
+
+failures = []
+
+
+def check(name, condition, seen=""):
+    print(f"{'ok     ' if condition else 'FAILED '} {name}" + ("" if condition else f": {seen}"), flush=True)
+    if not condition:
+        failures.append(name)
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for entry in sockets:
+        entry.bind(("127.0.0.1", 0))
+    ports = [entry.getsockname()[1] for entry in sockets]
+    for entry in sockets:
+        entry.close()
+    return ports
+
+
+class Answer:
+    def __init__(self, status, headers, body, is_complete):
+        self.status, self.headers, self.body, self.is_complete = status, headers, body, is_complete
+
+    def __str__(self):
+        return f"{self.status} {self.headers} {self.body[:200]!r} complete={self.is_complete}"
+
+
+class Entry:
+    """The process under test."""
+
+    def __init__(self, binary, folder, store_address, **bounds):
+        self.front, self.ready, self.directory, self.peer = free_ports(4)
+        self.path = pathlib.Path(folder) / f"boot-{self.front}.json"
+        self.path.write_text(json.dumps(settings(store_address, self.front, self.ready, self.directory, self.peer, **bounds)))
+        self.log_path = self.path.with_suffix(".log")
+        self.binary = binary
+        self.process = None
+
+    async def start(self):
+        with open(self.log_path, "wb") as log:
+            self.process = await asyncio.create_subprocess_exec(self.binary, "--settings", str(self.path), stdout=log, stderr=log)
+
+    async def until(self, condition, limit=20):
+        """Waits for an awaitable condition; false when the limit has passed."""
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            if await condition():
+                return True
+            await asyncio.sleep(0.02)
+        return False
+
+    async def is_ready(self):
+        try:
+            return (await self.plain(self.ready, "/borageslip/ready")).status == 200
+        except OSError:
+            return False
+
+    async def plain(self, port, target):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+        answer = await read_answer(reader)
+        writer.close()
+        return answer
+
+    async def ask(self, path, method="GET", key="key-1", identity="r-1", body=b"", deadline=1500, headers=()):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.front)
+        writer.write(request(path, method, key, identity, body, deadline, headers))
+        answer = await read_answer(reader)
+        writer.close()
+        return answer
+
+    def log_lines(self):
+        return [json.loads(line) for line in self.log_path.read_text().splitlines() if line.startswith("{")]
+
+
+def request(path, method="GET", key="key-1", identity="r-1", body=b"", deadline=1500, headers=()):
+    lines = [f"{method} {path} HTTP/1.1", "Host: app.example", f"X-Request-Id: {identity}", f"X-Deadline-Ms: {deadline}"]
+    if key:
+        lines.append(f"Api-Key: {key}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    lines += list(headers)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+async def read_answer(reader):
+    try:
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError):
+        return Answer(0, {}, b"", False)
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip() for line in lines[1:] if ":" in line}
+    status = int(lines[0].split(" ")[1])
+    body, is_complete = b"", True
+    try:
+        if "content-length" in headers:
+            body = await asyncio.wait_for(reader.readexactly(int(headers["content-length"])), 10)
+        else:
+            while True:
+                size = int(await asyncio.wait_for(reader.readline(), 10) or b"", 16)
+                chunk = await reader.readexactly(size + 2)
+                if size == 0:
+                    break
+                body += chunk[:-2]
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        is_complete = False
+    return Answer(status, headers, body, is_complete)
+
+
+class Fleet:
+    def __init__(self, store, servers, entry):
+        self.store, self.servers, self.entry = store, servers, entry
+
+    def list_servers(self, count=None):
+        for server in self.servers[:count]:
+            self.store.put_json(f"servers/{server.identity}", server.entry("pool"))
+
+    def behave(self, name):
+        for server in self.servers:
+            server.behaviour = name
+            server.runs.clear()
+            server.finished = 0
+
+    def runs(self):
+        return sum(len(server.runs) for server in self.servers)
+
+
+async def check_directory(fleet):
+    answer = await fleet.entry.plain(fleet.entry.directory, "/borageslip/resolve?name=app.example&region=r&zone=z")
+    document = json.loads(answer.body)
+    check("the directory names this instance", document["addresses"] == [f"127.0.0.1:{fleet.entry.front}"], document)
+    check("the directory answer says how long it lives", 0 < document["ttl_s"] <= 5, document)
+
+
+async def check_handover(fleet):
+    fleet.behave("sound")
+    forged = ["X-Tenant: forged", "X-Hold: 1", "X-Pin-Ms: 9", "X-Kv-Backup: a:1", "Kv-From: b", "X-Request-Priority: 0", "X-Kept: yes"]
+    answer = await fleet.entry.ask("/book/a?b=c", "POST", body=b"swap", headers=forged)
+    check("a request is answered by a backend server, with its seal", answer.status == 200 and answer.body == b"ran swap" and answer.headers.get("x-response-seal", "").startswith("seal-"), answer)
+    line, headers, body = next(run for server in fleet.servers for run in server.runs)
+    check("method, path, query and body are unchanged", line == "POST /book/a?b=c HTTP/1.1" and body == b"swap", line)
+    check("the backend server learns the client account and never the key", headers.get("x-tenant") == "account-1" and "api-key" not in headers, headers)
+    set_by_caller = [name for name in ("x-hold", "x-pin-ms", "x-kv-backup", "kv-from", "x-request-priority") if name in headers]
+    check("fields that only the fleet sets are not passed on", not set_by_caller and headers.get("x-kept") == "yes", headers)
+    check("the time that is left is handed over", 0 < int(headers["x-deadline-ms"]) <= 1500, headers)
+
+
+async def check_refusals(fleet):
+    fleet.behave("sound")
+    check("an unknown key is refused", (await fleet.entry.ask("/read/a", key="none")).status == 401)
+    check("a missing key is refused", (await fleet.entry.ask("/read/a", key=None)).status == 401)
+    check("an unknown path is refused", (await fleet.entry.ask("/nowhere/a")).status == 404)
+    check("a header over the limit is refused", (await fleet.entry.ask("/read/a", headers=["X-Long: " + "x" * 6000])).status == 431)
+    check("a body over the limit is refused", (await fleet.entry.ask("/read/a", "POST", body=b"x" * 70000)).status == 413)
+    check("nothing of that ran", fleet.runs() == 0, fleet.runs())
+    answer = await fleet.entry.ask("/open/a", key=None)
+    check("an anonymous route needs no key", answer.status == 200, answer)
+
+
+async def check_failures(fleet):
+    fleet.behave("lost")
+    answer = await fleet.entry.ask("/book/a", "POST", body=b"x")
+    check("a booking whose answer is lost runs once and is not called not run", answer.status in (502, 504) and fleet.runs() == 1, f"{answer} runs={fleet.runs()}")
+    fleet.behave("lost")
+    answer = await fleet.entry.ask("/read/a")
+    check("an idempotent request is sent to no more servers than its route allows", answer.status in (502, 504) and fleet.runs() == 2, f"{answer} runs={fleet.runs()}")
+    fleet.behave("full")
+    answer = await fleet.entry.ask("/book/a", "POST", body=b"x")
+    check("a booking that no server took is refused as not run, with a time to return", answer.status == 503 and 0 < float(answer.headers.get("retry-after", 0)) <= 0.5 and fleet.runs() == 0, answer)
+    fleet.behave("truncated")
+    answer = await fleet.entry.ask("/book/a", "POST", body=b"x")
+    check("an answer that breaks off does not look complete", answer.status == 502 or not answer.is_complete, answer)
+    fleet.behave("failing")
+    answer = await fleet.entry.ask("/book/a", "POST", body=b"x")
+    check("a failure of a server is passed on with its seal", answer.status == 500 and answer.body == b"failed" and "x-response-seal" in answer.headers, answer)
+    fleet.behave("unframed")
+    answer = await fleet.entry.ask("/read/a")
+    check("an answer without a length is passed on whole", answer.status == 200 and answer.body == b"unframed" and answer.is_complete, answer)
+    fleet.behave("foreign")
+    answer = await fleet.entry.ask("/book/a", "POST", body=b"x")
+    check("an answer to another request is passed over", answer.body == b"own", answer)
+    fleet.behave("extra")
+    for number in range(12):
+        answer = await fleet.entry.ask("/book/a", "POST", body=b"x", identity=f"r-extra-{number}")
+        if answer.body != b"own":
+            break
+    check("a second answer on a connection reaches nobody", answer.body == b"own", answer)
+
+
+async def check_streams(fleet):
+    fleet.behave("sound")
+    expected = b"".join(f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 6))
+    answer = await fleet.entry.ask("/stream/stream/a", "POST", body=b"x")
+    check("a stream is passed on whole", answer.body == expected and answer.is_complete, answer)
+    fleet.behave("sound")
+    fleet.servers[0].behaviour = fleet.servers[1].behaviour = "breaks-stream"
+    answers = [await fleet.entry.ask("/stream/stream/a", "POST", body=b"x", identity=f"r-stream-{number}") for number in range(6)]
+    whole = [answer for answer in answers if answer.is_complete]
+    check("a broken stream goes on at another server without a gap or a repeat", whole and all(answer.body == expected for answer in whole), [str(answer) for answer in answers])
+    check("a stream that cannot go on does not look complete", all(expected.startswith(answer.body) for answer in answers if not answer.is_complete), [str(answer) for answer in answers])
+    fleet.behave("breaks-stream")
+    answer = await fleet.entry.ask("/once/stream/a", "POST", body=b"x")
+    check("a stream that may not be resumed runs once and ends as broken", not answer.is_complete and fleet.runs() == 1, f"{answer} runs={fleet.runs()}")
+
+
+async def check_caller_leaves(fleet):
+    fleet.behave("sound")
+    for server in fleet.servers:
+        server.pieces, server.piece_delay = 200, 0.02
+    reader, writer = await asyncio.open_connection("127.0.0.1", fleet.entry.front)
+    writer.write(request("/stream/stream/a", "POST", body=b"x"))
+    await reader.readuntil(b"piece 2")
+    writer.close()
+    await asyncio.sleep(0.4)
+    check("a stream ends at its server when the caller leaves", all(server.finished == 0 for server in fleet.servers) and fleet.runs() == 1, fleet.runs())
+    for server in fleet.servers:
+        server.pieces, server.piece_delay = 5, 0.02
+
+
+async def check_smuggling(fleet):
+    fleet.behave("sound")
+    reader, writer = await asyncio.open_connection("127.0.0.1", fleet.entry.front)
+    hidden = request("/book/hidden", "POST", body=b"x", identity="hidden")
+    writer.write(request("/book/a", "POST", headers=["Transfer-Encoding: chunked", f"Content-Length: {len(hidden) + 5}"]) + b"0\r\n\r\n" + hidden)
+    answer = await read_answer(reader)
+    await asyncio.sleep(0.2)
+    writer.close()
+    check("a request inside another one's body is not run", answer.status == 400 and fleet.runs() == 0, f"{answer} runs={fleet.runs()}")
+
+
+async def check_kept_connection(fleet):
+    fleet.behave("sound")
+    reader, writer = await asyncio.open_connection("127.0.0.1", fleet.entry.front)
+    bodies = []
+    writer.write(request("/read/1", identity="k-1") + request("/read/2", identity="k-2"))
+    for _ in range(2):
+        bodies.append((await read_answer(reader)).headers.get("x-request-id"))
+    writer.write(request("/read/3", identity="k-3")[:30])
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    writer.write(request("/read/3", identity="k-3")[30:])
+    bodies.append((await read_answer(reader)).headers.get("x-request-id"))
+    writer.close()
+    check("requests on a kept connection are answered in order, also when sent ahead or in parts", bodies == ["k-1", "k-2", "k-3"], bodies)
+    reader, writer = await asyncio.open_connection("127.0.0.1", fleet.entry.front)
+    writer.write(b"GET /read/a HTTP/1.1\r\nHost: app")
+    answer = await read_answer(reader)
+    writer.close()
+    check("a request whose header does not arrive in time is refused", answer.status == 408, answer)
+
+
+async def check_changes(fleet):
+    fleet.behave("sound")
+    store, entry = fleet.store, fleet.entry
+    store.put("servers/i-foreign", b"not json")
+    store.put_json("servers/i-partial", {"backend": "pool", "state": "resting"})
+    store.put_json("op/config", {"version": 8, "routes": "none"})
+    await asyncio.sleep(1.5)
+    check("entries and configurations that cannot be read change nothing", (await entry.ask("/read/a")).status == 200)
+    names = {line["event"] for line in entry.log_lines()}
+    check("each of them is logged with a reason", {"configuration-invalid", "server-entry-invalid"} <= names, names)
+
+    document = configuration(9)
+    document["tenants"][0]["api_keys"] = ["key-2"]
+    store.put_json("op/config", document)
+    refused = await entry.until(lambda: status_is(entry, "/read/a", 401), 3)
+    check("a revoked key is refused within the bound", refused)
+    check("the other key is still accepted", (await entry.ask("/read/a", key="key-2")).status == 200)
+    store.put_json("op/config", configuration(5))
+    await asyncio.sleep(1.3)
+    check("an older version does not come back into force", (await entry.ask("/read/a")).status == 401)
+    store.put_json("op/config", configuration(12))
+    check("a new version is in force within the bound", await entry.until(lambda: status_is(entry, "/read/a", 200), 2))
+
+    fleet.behave("sound")
+    for server in fleet.servers[:2]:
+        store.put_json(f"servers/{server.identity}", server.entry("pool", "draining"))
+    await asyncio.sleep(1.3)
+    for number in range(6):
+        await entry.ask("/read/a", identity=f"r-drain-{number}")
+    check("a server that is leaving gets no new work", len(fleet.servers[2].runs) == 6, [len(server.runs) for server in fleet.servers])
+    fleet.list_servers()
+    store.forget_history()
+    store.remove("servers/" + fleet.servers[2].identity)
+    await asyncio.sleep(1.5)
+    fleet.behave("sound")
+    for number in range(6):
+        await entry.ask("/read/a", identity=f"r-compact-{number}")
+    check("a removal is noticed after the store has dropped its history", not fleet.servers[2].runs and fleet.runs() == 6, [len(server.runs) for server in fleet.servers])
+    fleet.list_servers()
+    await asyncio.sleep(1.3)
+
+
+async def status_is(entry, path, status):
+    return (await entry.ask(path)).status == status
+
+
+async def check_store_outage(fleet):
+    fleet.behave("sound")
+    store, entry = fleet.store, fleet.entry
+    store.is_down = True
+    check("requests are served while the store has just gone", (await entry.ask("/read/a")).status == 200)
+    check("keys are refused as not run when the store cannot confirm them", await entry.until(lambda: status_is(entry, "/read/a", 503), 6))
+    check("an unknown path is then not called unknown", (await entry.ask("/nowhere/a")).status == 503)
+    check("an anonymous route goes on", (await entry.ask("/open/a", key=None)).status == 200)
+    check("the instance says that it is not ready", not await entry.is_ready())
+    store.is_down = False
+    check("it serves again when the store is back", await entry.until(lambda: status_is(entry, "/read/a", 200), 8))
+
+
+async def check_stop(fleet):
+    fleet.behave("sound")
+    for server in fleet.servers:
+        server.pieces, server.piece_delay = 40, 0.025
+    reader, writer = await asyncio.open_connection("127.0.0.1", fleet.entry.front)
+    writer.write(request("/stream/stream/a", "POST", body=b"x"))
+    head = await reader.readuntil(b"\r\n\r\n")
+    fleet.entry.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.1)
+    check("a stopping instance says that it is not ready", not await fleet.entry.is_ready())
+    body = await reader.read(1 << 20)
+    while not body.endswith(b"0\r\n\r\n"):
+        part = await reader.read(1 << 20)
+        if not part:
+            break
+        body += part
+    writer.close()
+    check("a planned stop cuts no stream under way", head.startswith(b"HTTP/1.1 200") and body.endswith(b"0\r\n\r\n"), body[-80:])
+    try:
+        code = await asyncio.wait_for(fleet.entry.process.wait(), 6)
+    except asyncio.TimeoutError:
+        code = None
+    check("the process ends in order within its grace", code == 0, code)
+    gone = await fleet.entry.until(lambda: is_gone(fleet.store), 3)
+    check("its record is gone from the store", gone)
+
+
+async def is_gone(store):
+    return "borageslip/members/entry-1" not in store.items
+
+
+async def run(binary):
+    store = Store()
+    _, store_address = await start_server(store.serve)
+    servers = [BackendServer(f"i-{number}") for number in range(3)]
+    for server in servers:
+        _, server.address = await start_server(server.serve)
+    with tempfile.TemporaryDirectory() as folder:
+        entry = Entry(binary, folder, store_address)
+        fleet = Fleet(store, servers, entry)
+        await entry.start()
+        try:
+            await asyncio.sleep(1)
+            check("an instance without a configuration is not ready", not await entry.is_ready())
+            check("an instance without a configuration refuses as not run, not as unknown", (await entry.ask("/read/a")).status == 503)
+            store.put_json("op/config", configuration(7))
+            fleet.list_servers()
+            check("an instance is ready once it has a configuration", await entry.until(entry.is_ready))
+            await asyncio.sleep(0.8)
+            for case in (check_directory, check_handover, check_refusals, check_failures, check_streams, check_caller_leaves, check_smuggling, check_kept_connection, check_changes, check_store_outage, check_stop):
+                await asyncio.wait_for(case(fleet), 60)
+        finally:
+            if entry.process.returncode is None:
+                entry.process.kill()
+                await entry.process.wait()
+            if failures or entry.process.returncode not in (0, -9):
+                print("exit code", entry.process.returncode)
+                print(entry.log_path.read_text()[-6000:])
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", required=True, help="folder of the programs")
+    arguments = parser.parse_args()
+    asyncio.run(run(str(pathlib.Path(arguments.bin) / "borageslip-entry")))
+    print(f"{len(failures)} failed")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -136,7 +136,9 @@
             if message is None:
                 break
             if self.is_down:
-                await asyncio.sleep(3600)
+                while self.is_down:
+                    await asyncio.sleep(0.05)
+                break
             writer.write(await self.answer(message[0], message[2]))
             await writer.drain()
         writer.close()
