Keep requests where their prefix is cached up to the cap on skew

Cause: a request left its server at 1.25 times the mean load plus 2, and its prompt (8,620 shared tokens) was read again elsewhere; workers run 3 to 5 of 96 requests, so the move gained nothing. Ruled out: uneven hashing alone (busiest/mean 1.27). Change: the bound is the cap on skew, 2 times the mean plus 2.

--- a/modules/borageslip_traffic/placement/ServerChoice.h
+++ b/modules/borageslip_traffic/placement/ServerChoice.h
@@ -21,7 +21,7 @@
 /** Bounds of the choice. */
 struct ServerChoiceLimits {
     double capFactor = 2; ///< No backend server gets work while it holds more than this times the mean plus capMargin.
-    double affinityFactor = 1.25; ///< Times the mean: up to it a request stays where its prefix is cached.
+    double affinityFactor = 2; ///< Times the mean: up to it a request stays where its prefix is cached.
     double affinityMargin = 2;
     int64_t pendingPrefill = 24000; ///< Tokens; a longer backlog would delay the first token by more than half a second.
 };
