--- a/apps/borageslip-entry/Main.cpp
+++ b/apps/borageslip-entry/Main.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr double logLinesPerSecond = 15; ///< Of one kind of event.
+
 enum ExitCode {
     Success = 0,
     InvalidSettings = 2,
@@ -86,7 +88,7 @@
         return Success;
 
     std::signal(SIGPIPE, SIG_IGN);
-    borageslip::initialiseLog(borageslip::severityFromName(logLevel), "borageslip-entry/" + borageslip::value(settings).instanceName);
+    borageslip::initialiseLog(borageslip::severityFromName(logLevel), "borageslip-entry/" + borageslip::value(settings).instanceName, { borageslip::LogOptions::Destination::StandardOutput, logLinesPerSecond });
     const borageslip::BootClock clock;
     boost::asio::io_context context(1);
     borageslip::platform::PlatformInstance instance(context, clock, borageslip::value(std::move(settings)));
--- a/apps/borageslip/Main.cpp
+++ b/apps/borageslip/Main.cpp
@@ -1,6 +1,7 @@
 #include "ReportCommand.h"
 
 #include <borageslip_configuration/borageslip_configuration.h>
+#include <borageslip_report/borageslip_report.h>
 
 #include <CLI/CLI.hpp>
 #include <fstream>
@@ -41,6 +42,7 @@
     std::string operatorName;
     std::string reason;
     std::string request;
+    std::vector<std::string> logFiles;
     std::string shell;
     std::string htmlFile;
     uint64_t revision = 0;
@@ -293,6 +295,13 @@
 
 int runExplain(const Options& options)
 {
+    if (!options.logFiles.empty()) {
+        const auto story = readRequestStory(options.request, options.logFiles);
+        if (!isOk(story))
+            return fail(error(story));
+        printRequestStory(std::cout, value(story));
+        return Success;
+    }
     const auto answer = explainRequest(options.operators, options.request, routerTimeout);
     if (!isOk(answer))
         return fail(error(answer));
@@ -375,7 +384,9 @@
     undo->add_option("--by", options.operatorName, "Operator")->required();
     undo->add_option("--reason", options.reason, "Reason")->required();
     undo->add_option("--output", options.output, "Write the plan to this file");
-    add("explain", "Show how a request was decided", runExplain)->add_option("request", options.request, "Request id")->required();
+    auto* explain = add("explain", "Show how a request was decided: from the routers, or from log files", runExplain);
+    explain->add_option("request", options.request, "Request id")->required();
+    explain->add_option("--logs", options.logFiles, "Log files of all instances; the routers are not asked");
     add("report", "Show the objectives, the error budget left and what burned it", runReport)->add_option("--html", options.htmlFile, "Also write the report as an HTML page to this file");
     auto* completion = app.add_subcommand("completion", "Print a shell completion script");
     completion->add_option("shell", options.shell, "bash")->required()->check(CLI::IsMember({ "bash" }));
--- a/modules/borageslip_core/borageslip_core.h
+++ b/modules/borageslip_core/borageslip_core.h
@@ -18,6 +18,7 @@
 #include "identity/Hash.h"
 #include "identity/Identifier.h"
 #include "logging/Log.h"
+#include "logging/LogBudget.h"
 #include "settings/SettingsDocument.h"
 #include "state/StateChart.h"
 #include "time/BootClock.h"
--- a/modules/borageslip_core/logging/Log.h
+++ b/modules/borageslip_core/logging/Log.h
@@ -12,9 +12,24 @@
     Error,
 };
 
-/** Sends log lines to standard error, one JSON object a line, and drops lines below the level.
+/** Where log lines go, and how many. */
+struct LogOptions {
+    enum class Destination {
+        StandardError,
+        /** Never waits for the reader: a line that a full pipe does not take is dropped and counted. */
+        StandardOutput,
+    };
+
+    Destination destination = Destination::StandardError;
+    double linesPerSecond = 0; ///< Of one kind of event, see LogBudget; 0: not bounded.
+};
+
+/** Sends log lines to the destination, one JSON object a line, and drops lines below the level.
     @param process name of the program and instance, added to each line. */
-void initialiseLog(Severity minimum, std::string_view process);
+void initialiseLog(Severity minimum, std::string_view process, const LogOptions& = {});
+
+/** Log lines that a full pipe did not take since the start. */
+uint64_t droppedLogLines();
 
 /** Parses "debug", "info", "warning" or "error"; anything else yields Info. */
 Severity severityFromName(std::string_view name);
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -175,8 +175,10 @@
             break;
         m_hasRetryGrant = false;
         const auto end = co_await attempt(value(std::move(server)));
-        if (end == AttemptEnd::Delivered)
+        if (end == AttemptEnd::Delivered) {
+            logOutcome(Severity::Info, "answered", "delivered", "");
             co_return;
+        }
         if (end == AttemptEnd::Ended)
             break;
         if (end == AttemptEnd::NotSent) {
@@ -232,6 +234,7 @@
 
 asio::awaitable<Exchange::AttemptEnd> Exchange::attempt(BackendServerPtr server)
 {
+    m_records.push_back({ server->description().id, server->inFlight(), toMilliseconds(m_engine.clock().now() - m_arrivedAt), toMilliseconds(m_engine.knowledgeAge()) });
     const InFlight inFlight(m_engine, server);
     m_tried.push_back(server->hash());
     AttemptState state { server, server->pool().takeIdle() };
@@ -515,14 +518,44 @@
     co_return AttemptEnd::Delivered;
 }
 
+void Exchange::logOutcome(Severity severity, std::string_view event, std::string_view outcome, std::string_view detail) const
+{
+    if (!isLogged(severity))
+        return;
+    auto sends = nlohmann::json::array();
+    for (const auto& record : m_records)
+        sends.push_back({ { "server", record.server }, { "in_flight", record.inFlight }, { "after_ms", record.after.count() }, { "knowledge_age_ms", record.knowledgeAge.count() } });
+    nlohmann::json fields {
+        { "request", m_facts.requestId },
+        { "outcome", outcome },
+        { "duration_ms", toMilliseconds(m_engine.clock().now() - m_arrivedAt).count() },
+        { "knowledge_age_ms", toMilliseconds(m_engine.knowledgeAge()).count() },
+        { "sends", std::move(sends) },
+    };
+    if (!detail.empty())
+        fields["detail"] = detail;
+    if (m_admitted.route != nullptr) {
+        fields["route"] = m_admitted.route->name;
+        fields["service"] = m_admitted.service;
+        fields["account"] = m_admitted.account;
+        fields["configuration"] = m_admitted.configuration->version();
+    } else if (m_engine.configuration()) {
+        fields["configuration"] = m_engine.configuration()->version();
+    }
+    logEvent(severity, event, fields);
+}
+
 asio::awaitable<void> Exchange::conclude(Error failure)
 {
-    if (m_stop == Stop::CallerLeft || m_sink.isCallerGone())
+    if (m_stop == Stop::CallerLeft || m_sink.isCallerGone()) {
+        logOutcome(Severity::Info, "caller-left", "cancelled", m_lastError.detail);
         co_return;
+    }
     if (m_stop == Stop::DeadlinePassed)
         failure = { m_mayHaveRun ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineBeforeStart, "the time limit has passed" };
     if (m_sink.hasBegun()) {
         ++m_engine.counts().failed;
+        logOutcome(Severity::Warning, "broken-off", errorTraits(failure.kind).name, failure.detail);
         m_sink.abort();
         co_return;
     }
@@ -532,7 +565,7 @@
     ++(failure.mayHaveRun() ? m_engine.counts().failed : m_engine.counts().refused);
     if (!failure.mayHaveRun() && failure.isRetryable())
         failure.retryAfter = m_engine.retryAfter(m_admitted.route != nullptr ? timeLeft() : m_facts.timeLeft.value_or(milliseconds(0)));
-    logEvent(Severity::Info, "refused", { { "request", m_facts.requestId }, { "kind", errorTraits(failure.kind).name }, { "detail", failure.detail } });
+    logOutcome(Severity::Warning, "refused", errorTraits(failure.kind).name, failure.detail);
     co_await m_sink.refuse(failure);
 }
 
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -4,6 +4,7 @@
 #include "EventFilter.h"
 #include "TrafficEngine.h"
 
+#include <borageslip_core/logging/Log.h>
 #include <borageslip_request/attempt/AttemptChart.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -73,6 +74,7 @@
     bool isAnswerOwn(const AttemptState&, const AnswerFacts&) const;
     bool mayRetryFailure(unsigned status);
     void release(AttemptState&, const AnswerReader&);
+    void logOutcome(Severity, std::string_view event, std::string_view outcome, std::string_view detail) const;
     AttemptEnd lost(AttemptState&, std::string_view reason);
     AttemptEnd misdirected(AttemptState&);
     void startDeadline();
@@ -80,6 +82,14 @@
     std::chrono::milliseconds timeLeft() const;
     const Route& route() const { return *m_admitted.route; }
 
+    /** What was known when the request was sent, for the log. */
+    struct SendRecord {
+        std::string server;
+        int inFlight = 0;
+        std::chrono::milliseconds after { 0 }; ///< Since the request arrived.
+        std::chrono::milliseconds knowledgeAge { 0 }; ///< Since the store confirmed the list and the configuration.
+    };
+
     TrafficEngine& m_engine;
     AnswerSink& m_sink;
     HttpRequest m_request;
@@ -92,6 +102,7 @@
     ServerConnectionPtr m_connection; ///< That of the attempt under way.
     Signal m_placeSignal;
     std::vector<uint64_t> m_tried; ///< Hashes of the backend servers that had the request or could not be reached.
+    std::vector<SendRecord> m_records;
     int m_sends = 0;
     bool m_hasRetryGrant = false; ///< A repeat has been taken from the budget and not been used yet.
     bool m_mayHaveRun = false;
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -69,6 +69,9 @@
     void confirmConfiguration(TimePoint at) { m_confirmedAt = std::max(m_confirmedAt, at); }
     const TrafficConfigurationPtr& configuration() const { return m_configuration; }
 
+    /** Time since the store last confirmed the configuration and the list of backend servers. */
+    Duration knowledgeAge() const { return m_clock.now() - m_confirmedAt; }
+
     /** Whether keys may be accepted: the store has confirmed the configuration lately. */
     bool mayTrustKeys() const;
 
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -177,7 +177,7 @@
 
 async def check_failures(fleet):
     fleet.behave("lost")
-    answer = await fleet.entry.ask("/book/a", "POST", body=b"x")
+    answer = await fleet.entry.ask("/book/a", "POST", body=b"x", identity="r-story-lost")
     check("a booking whose answer is lost runs once and is not called not run", answer.status in (502, 504) and fleet.runs() == 1, f"{answer} runs={fleet.runs()}")
     fleet.behave("lost")
     answer = await fleet.entry.ask("/read/a")
@@ -191,7 +191,7 @@
         server.identity = server.identity.removesuffix("-new")
     await asyncio.sleep(0.8)
     fleet.behave("full")
-    answer = await fleet.entry.ask("/book/a", "POST", body=b"x")
+    answer = await fleet.entry.ask("/book/a", "POST", body=b"x", identity="r-story-full")
     check("a booking that no server took is refused as not run, with a time to return", answer.status == 503 and 0 < float(answer.headers.get("retry-after", 0)) <= 0.5 and fleet.runs() == 0, answer)
     fleet.behave("truncated")
     answer = await fleet.entry.ask("/book/a", "POST", body=b"x")
@@ -327,6 +327,7 @@
     store.is_down = True
     check("requests are served while the store has just gone", (await entry.ask("/read/a")).status == 200)
     check("keys are refused as not run when the store cannot confirm them", await entry.until(lambda: status_is(entry, "/read/a", 503), 6))
+    await entry.ask("/read/a", identity="r-story-outage")
     check("an unknown path is then not called unknown", (await entry.ask("/nowhere/a")).status == 503)
     check("an anonymous route goes on", (await entry.ask("/open/a", key=None)).status == 200)
     check("the instance says that it is not ready", not await entry.is_ready())
@@ -361,6 +362,17 @@
     check("its record is gone from the store", gone)
 
 
+async def check_explain(fleet):
+    """Three failed requests are explained from the log alone: rejected, answer lost, refused in a store outage."""
+    entry = fleet.entry
+    tool = str(pathlib.Path(entry.binary).parent / "borageslip")
+    for identity, cause in (("r-story-full", "did not take the request"), ("r-story-lost", "it may have run"), ("r-story-outage", "no word from the store")):
+        process = await asyncio.create_subprocess_exec(tool, "explain", identity, "--logs", str(entry.log_path), stdout=asyncio.subprocess.PIPE)
+        output = (await asyncio.wait_for(process.communicate(), 10))[0].decode()
+        check(f"explain names the cause of {identity}", process.returncode == 0 and cause in output, output)
+        check(f"explain shows what was known for {identity}", "knowledge_age_ms" in output and "configuration-in-force" in output, output)
+
+
 async def is_gone(store):
     return "borageslip/members/entry-1" not in store.items
 
@@ -383,7 +395,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_handover, check_refusals, check_failures, check_streams, check_caller_leaves, check_smuggling, check_kept_connection, check_changes, check_store_outage, check_stop):
+            for case in (check_directory, check_handover, check_refusals, check_failures, check_streams, check_caller_leaves, check_smuggling, check_kept_connection, check_changes, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
