--- a/apps/borageslip-entry/Main.cpp
+++ b/apps/borageslip-entry/Main.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double logLinesPerSecond = 15; ///< Of one kind of event.
+constexpr double logLinesPerSecond = 5; ///< Of one kind of event.
 
 enum ExitCode {
     Success = 0,
