Serve metrics of borageslip-entry

Change: counts and gauges by prometheus-cpp (core, text serializer) on port 9464; docs/METRICS-ENTRY.md is compared with the program by entry_test.py, which also checks that every request has exactly one outcome.

--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -5,7 +5,7 @@
     loads between instances.
 
     Depends on borageslip_core and borageslip_request (the attempt chart). System libraries: Boost.Asio, Boost.Beast,
-    nlohmann_json.
+    nlohmann_json, prometheus-cpp (core).
 */
 
 #include "caller/CallerListener.h"
@@ -19,6 +19,7 @@
 #include "http/HttpMessages.h"
 #include "limits/FleetRetryBudget.h"
 #include "limits/RequestQueue.h"
+#include "metrics/TrafficMetrics.h"
 #include "net/ConnectionPool.h"
 #include "net/ServerConnection.h"
 #include "net/Signal.h"
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -128,6 +128,7 @@
     startDeadline();
     co_await serve();
     m_deadlineTimer.cancel();
+    m_engine.counts().recordDuration(m_engine.clock().now() - m_arrivedAt);
 }
 
 void Exchange::startDeadline()
@@ -173,6 +174,8 @@
         }
         if (m_sends > 0 && !m_hasRetryGrant && !budget.tryRetry(m_engine.clock().now()))
             break;
+        if (m_sends > 0)
+            ++m_engine.counts().retries;
         m_hasRetryGrant = false;
         const auto end = co_await attempt(value(std::move(server)));
         if (end == AttemptEnd::Delivered) {
@@ -393,7 +396,6 @@
     if (!isAllowed || !m_engine.retryBudget(m_admitted.service).tryRetry(m_engine.clock().now()))
         return false;
     m_hasRetryGrant = true;
-    ++m_engine.counts().retries;
     return true;
 }
 
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -4,6 +4,7 @@
 #include <borageslip_core/logging/Log.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace borageslip {
 
@@ -52,6 +53,22 @@
 
 }
 
+double durationBucketBound(size_t bucket)
+{
+    static constexpr std::array<double, 8> bounds { 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4 };
+    return bucket < bounds.size() ? bounds[bucket] : std::numeric_limits<double>::infinity();
+}
+
+void TrafficCounts::recordDuration(Duration duration)
+{
+    const double seconds = std::chrono::duration<double>(duration).count();
+    size_t bucket = 0;
+    while (seconds > durationBucketBound(bucket))
+        ++bucket;
+    ++durationBuckets[bucket];
+    durationSum += duration;
+}
+
 TrafficEngine::TrafficEngine(const Clock& clock, const boost::asio::any_io_executor& executor, const CallerProtocol& protocol, TrafficSettings settings)
     : m_clock(clock)
     , m_executor(executor)
@@ -131,6 +148,14 @@
     return chosen ? servers[*chosen] : nullptr;
 }
 
+size_t TrafficEngine::waitingCount() const
+{
+    size_t count = 0;
+    for (const auto& [service, queue] : m_queues)
+        count += queue.size();
+    return count;
+}
+
 FleetRetryBudget& TrafficEngine::retryBudget(const std::string& service)
 {
     const auto [found, isNew] = m_retryBudgets.try_emplace(service, m_settings.retryBudget);
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -45,9 +45,15 @@
     uint64_t failed = 0;
     uint64_t callersGone = 0;
     uint64_t retries = 0;
-    uint64_t resumed = 0;
+    std::array<uint64_t, 9> durationBuckets {}; ///< Requests by duration, see durationBucketBound().
+    Duration durationSum {};
+
+    void recordDuration(Duration);
 };
 
+/** Upper bound of a bucket of durations in seconds; the last one has none. */
+double durationBucketBound(size_t bucket);
+
 /** What all requests of this instance share: the configuration in force, the backend servers, the queues and the retry
     budgets. Decides who may be served where; Exchange carries each request out.
 
@@ -84,6 +90,7 @@
 
     bool hasServers(std::string_view service) const;
     RequestQueue& queue(const std::string& service) { return m_queues[service]; }
+    size_t waitingCount() const;
     FleetRetryBudget& retryBudget(const std::string& service);
     void setInstanceCount(size_t);
 
--- /dev/null
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -0,0 +1,137 @@
+#include "TrafficMetrics.h"
+
+#include <borageslip_core/errors/Invariant.h>
+#include <borageslip_core/logging/Log.h>
+
+#include <array>
+#include <prometheus/text_serializer.h>
+
+namespace borageslip {
+
+namespace {
+
+    using prometheus::ClientMetric;
+    using prometheus::MetricFamily;
+    using prometheus::MetricType;
+
+    /** A count of the traffic path and the outcome under which it is shown. */
+    struct OutcomeRow {
+        const char* outcome;
+        uint64_t TrafficCounts::*count;
+    };
+    constexpr std::array outcomeRows {
+        OutcomeRow { "answered", &TrafficCounts::answered },
+        OutcomeRow { "refused", &TrafficCounts::refused },
+        OutcomeRow { "failed", &TrafficCounts::failed },
+        OutcomeRow { "caller-left", &TrafficCounts::callersGone },
+    };
+
+    constexpr size_t bucketCount = std::tuple_size_v<decltype(TrafficCounts::durationBuckets)>;
+
+    MetricFamily familyOf(const char* name, const char* help, MetricType type)
+    {
+        return { name, help, type, {} };
+    }
+
+    MetricFamily gauge(const char* name, const char* help, double value)
+    {
+        auto family = familyOf(name, help, MetricType::Gauge);
+        ClientMetric metric;
+        metric.gauge.value = value;
+        family.metric.push_back(metric);
+        return family;
+    }
+
+    MetricFamily counter(const char* name, const char* help, uint64_t value)
+    {
+        auto family = familyOf(name, help, MetricType::Counter);
+        ClientMetric metric;
+        metric.counter.value = static_cast<double>(value);
+        family.metric.push_back(metric);
+        return family;
+    }
+
+    MetricFamily outcomes(const TrafficCounts& counts)
+    {
+        auto family = familyOf("borageslip_entry_outcomes_total", "Requests that have ended, by outcome", MetricType::Counter);
+        for (const auto& row : outcomeRows) {
+            ClientMetric metric;
+            metric.label.push_back({ "outcome", row.outcome });
+            metric.counter.value = static_cast<double>(counts.*row.count);
+            family.metric.push_back(std::move(metric));
+        }
+        return family;
+    }
+
+    MetricFamily durations(const TrafficCounts& counts)
+    {
+        auto family = familyOf("borageslip_entry_request_seconds", "Time from a request's first byte to its end", MetricType::Histogram);
+        ClientMetric metric;
+        uint64_t cumulative = 0;
+        for (size_t i = 0; i < bucketCount; ++i) {
+            cumulative += counts.durationBuckets[i];
+            metric.histogram.bucket.push_back({ cumulative, durationBucketBound(i) });
+        }
+        metric.histogram.sample_count = cumulative;
+        metric.histogram.sample_sum = std::chrono::duration<double>(counts.durationSum).count();
+        family.metric.push_back(std::move(metric));
+        return family;
+    }
+
+    MetricFamily servers(TrafficEngine& engine)
+    {
+        int ready = 0;
+        int draining = 0;
+        int ejected = 0;
+        const auto now = engine.clock().now();
+        for (const auto& [id, server] : engine.servers().all()) {
+            if (!server->isInService())
+                ++draining;
+            else
+                ++(server->isEjected(now) ? ejected : ready);
+        }
+        auto family = familyOf("borageslip_entry_servers", "Backend servers, by state", MetricType::Gauge);
+        for (const auto& [state, count] : { std::pair("ready", ready), std::pair("draining", draining), std::pair("ejected", ejected) }) {
+            ClientMetric metric;
+            metric.label.push_back({ "state", state });
+            metric.gauge.value = count;
+            family.metric.push_back(std::move(metric));
+        }
+        return family;
+    }
+
+}
+
+TrafficMetrics::TrafficMetrics(TrafficEngine& engine, const PeerLink& peers)
+    : m_engine(engine)
+    , m_peers(peers)
+{
+}
+
+std::vector<MetricFamily> TrafficMetrics::collect() const
+{
+    const auto& counts = m_engine.counts();
+    const auto version = m_engine.configuration() ? m_engine.configuration()->version() : 0;
+    return {
+        counter("borageslip_entry_requests_total", "Requests of callers", counts.requests),
+        outcomes(counts),
+        durations(counts),
+        counter("borageslip_entry_retries_total", "Sends after a failed one, within the shared budget", counts.retries),
+        servers(m_engine),
+        gauge("borageslip_entry_waiting", "Requests that wait for a place at a backend server", static_cast<double>(m_engine.waitingCount())),
+        gauge("borageslip_entry_configuration_version", "Version of the configuration in force; 0 for none", static_cast<double>(version)),
+        gauge("borageslip_entry_knowledge_age_seconds", "Time since the store last confirmed what is known", std::chrono::duration<double>(m_engine.knowledgeAge()).count()),
+        gauge("borageslip_entry_members", "Other instances that the store lists", static_cast<double>(m_peers.members().size())),
+        gauge("borageslip_entry_members_heard", "Other instances whose reports arrive", static_cast<double>(m_peers.heardCount())),
+        gauge("borageslip_entry_loop_lag_seconds", "How late the event loop served its last timer", std::chrono::duration<double>(m_loopLag).count()),
+        counter("borageslip_entry_log_lines_dropped_total", "Log lines that a full pipe did not take", droppedLogLines()),
+        counter("borageslip_entry_invariant_violations_total", "Violations of the program's own invariants", invariantViolations()),
+    };
+}
+
+std::string TrafficMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(collect());
+}
+
+}
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -33,6 +33,7 @@
         member is heard, all listed ones. */
     std::vector<boost::asio::ip::tcp::endpoint> callerAddresses() const;
 
+    size_t heardCount() const { return m_board.heardCount(m_engine.clock().now()); }
     const std::map<std::string, Member, std::less<>>& members() const { return m_members; }
 
 private:
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -47,9 +47,9 @@
     """The process under test."""
 
     def __init__(self, binary, folder, store_address, **bounds):
-        self.front, self.ready, self.directory, self.peer = free_ports(4)
+        self.front, self.ready, self.directory, self.peer, self.metrics = free_ports(5)
         self.path = pathlib.Path(folder) / f"boot-{self.front}.json"
-        self.path.write_text(json.dumps(settings(store_address, self.front, self.ready, self.directory, self.peer, **bounds)))
+        self.path.write_text(json.dumps(settings(store_address, self.front, self.ready, self.directory, self.peer, self.metrics, **bounds)))
         self.log_path = self.path.with_suffix(".log")
         self.binary = binary
         self.process = None
@@ -321,6 +321,18 @@
     return (await entry.ask(path)).status == status
 
 
+async def check_metrics(fleet):
+    text = (await fleet.entry.plain(fleet.entry.metrics, "/metrics")).body.decode()
+    shown = {line.split(" ")[2] for line in text.splitlines() if line.startswith("# TYPE")}
+    page = (pathlib.Path(__file__).parents[2] / "docs/METRICS-ENTRY.md").read_text()
+    listed = {line.split("`")[1] for line in page.splitlines() if line.startswith("| `")}
+    check("docs/METRICS-ENTRY.md lists exactly the metrics of the program", shown == listed, shown ^ listed)
+    values = {line.rsplit(" ", 1)[0]: float(line.rsplit(" ", 1)[1]) for line in text.splitlines() if not line.startswith("#")}
+    ended = sum(value for name, value in values.items() if name.startswith("borageslip_entry_outcomes_total"))
+    check("every request has one outcome", values["borageslip_entry_requests_total"] == ended, (values["borageslip_entry_requests_total"], ended))
+    check("no invariant was violated", values["borageslip_entry_invariant_violations_total"] == 0, values)
+
+
 async def check_store_outage(fleet):
     fleet.behave("sound")
     store, entry = fleet.store, fleet.entry
@@ -395,7 +407,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_handover, check_refusals, check_failures, check_streams, check_caller_leaves, check_smuggling, check_kept_connection, check_changes, check_store_outage, check_stop, check_explain):
+            for case in (check_directory, check_handover, check_refusals, check_failures, check_streams, check_caller_leaves, check_smuggling, check_kept_connection, check_changes, check_metrics, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -252,7 +252,7 @@
     return server, f"127.0.0.1:{port}"
 
 
-def settings(store_address, front, ready, directory, peer_port, name="entry-1", **bounds):
+def settings(store_address, front, ready, directory, peer_port, metrics_port=9464, name="entry-1", **bounds):
     return {
         "node_name": name,
         "role": "entry",
@@ -263,6 +263,7 @@
         "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}", "directory": f"127.0.0.1:{directory}"},
         "internal_ports": [peer_port, peer_port + 5],
         "limits": {"max_fds": 1024},
+        "metrics_port": metrics_port,
         "bounds": {"grace_s": 3, "ttl_max_s": 5, "drain_ms": 2000, "revoke_fail_closed": True, "revoke_ms": 3000, "retry_budget_ratio": 0.2, "budget_min_retries": 90, "budget_window_s": 10, "cap_factor": 2, **bounds},
         "provider": {"address": store_address},
     }
