--- /dev/null
+++ b/tests/borageslip_traffic/KeyLogicTests.cpp
@@ -0,0 +1,139 @@
+#include <borageslip_core/borageslip_core.h>
+#include <borageslip_traffic/borageslip_traffic.h>
+
+#include <catch2/catch.hpp>
+#include <cmath>
+
+using namespace borageslip;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Reads the key of a request; nothing else is stated. */
+class KeyOnlyProtocol final : public CallerProtocol {
+public:
+    RequestFacts requestFacts(const HttpFields&) const override { return {}; }
+    void prepareHandover(HttpFields&, const HandoverFacts&) const override { }
+    AnswerFacts answerFacts(unsigned, const HttpFields&) const override { return {}; }
+};
+
+constexpr Duration keyLifetime = 3s;
+constexpr Duration step = 1s;
+
+TrafficConfigurationPtr configurationOf(uint64_t version, bool hasKey)
+{
+    Route route;
+    route.name = "r";
+    route.host = "h";
+    route.pathPrefix = "/a/";
+    route.services.push_back({ "pool", 1 });
+    const std::vector<std::string> keys = hasKey ? std::vector<std::string> { "key", "other" } : std::vector<std::string> { "other" };
+    auto built = TrafficConfigurationBuilder().setVersion(version).addService({ "pool" }).addRoute(route).addAccount({ "account" }, keys).build();
+    return std::make_shared<const TrafficConfiguration>(value(std::move(built)));
+}
+
+/** What can happen between an instance, the store and the operator. */
+enum class Event {
+    OperatorRevokes, ///< The operator takes the key away; acknowledged by the store.
+    OperatorRestores,
+    InstanceReads, ///< The instance learns the store's newest configuration.
+    OldAnswerArrives, ///< A delayed answer with the first version arrives.
+    TimePasses,
+};
+constexpr std::array allEvents { Event::OperatorRevokes, Event::OperatorRestores, Event::InstanceReads, Event::OldAnswerArrives, Event::TimePasses };
+
+/** One instance and the store, driven by a list of events. */
+class World {
+public:
+    World()
+        : m_engine(m_clock, m_context.get_executor(), m_protocol, settings())
+    {
+        m_engine.setConfiguration(configurationOf(1, true));
+        m_engine.confirmConfiguration(m_clock.now());
+    }
+
+    void happen(Event event)
+    {
+        switch (event) {
+        case Event::OperatorRevokes:
+        case Event::OperatorRestores:
+            change(event == Event::OperatorRestores);
+            break;
+        case Event::InstanceReads:
+            m_engine.setConfiguration(configurationOf(m_version, m_hasKey));
+            m_engine.confirmConfiguration(m_clock.now());
+            break;
+        case Event::OldAnswerArrives:
+            m_engine.setConfiguration(configurationOf(1, true));
+            break;
+        case Event::TimePasses:
+            m_clock.advance(step);
+            break;
+        }
+    }
+
+    void check()
+    {
+        RequestFacts facts;
+        facts.key = "key";
+        HttpRequest request;
+        request.set(boost::beast::http::field::host, "h");
+        request.target("/a/x");
+        const auto admitted = m_engine.admit(request, facts);
+        const auto version = m_engine.configuration()->version();
+        REQUIRE(version >= m_seenVersion);
+        m_seenVersion = version;
+        const bool isRevokedForLong = !m_hasKey && m_clock.now() - m_changedAt >= keyLifetime;
+        if (isRevokedForLong)
+            REQUIRE_FALSE(isOk(admitted));
+        const bool neverRevoked = m_version == 1;
+        if (neverRevoked && !isOk(admitted))
+            REQUIRE(error(admitted).kind == ErrorKind::StoreUnavailable);
+    }
+
+private:
+    static TrafficSettings settings()
+    {
+        TrafficSettings settings;
+        settings.keyLifetime = keyLifetime;
+        return settings;
+    }
+
+    void change(bool hasKey)
+    {
+        ++m_version;
+        if (m_hasKey != hasKey)
+            m_changedAt = m_clock.now();
+        m_hasKey = hasKey;
+    }
+
+    boost::asio::io_context m_context;
+    ManualClock m_clock;
+    KeyOnlyProtocol m_protocol;
+    TrafficEngine m_engine;
+    uint64_t m_version = 1;
+    uint64_t m_seenVersion = 1;
+    bool m_hasKey = true;
+    TimePoint m_changedAt {};
+};
+
+}
+
+TEST_CASE("in every order of seven events no key is accepted long after its revocation and no version comes back")
+{
+    initialiseLog(Severity::Error, "tests");
+    constexpr size_t depth = 7;
+    size_t explored = 0;
+    const auto total = static_cast<size_t>(std::pow(allEvents.size(), depth));
+    for (size_t order = 0; order < total; ++order) {
+        World world;
+        auto rest = order;
+        for (size_t i = 0; i < depth; ++i) {
+            world.happen(allEvents.at(rest % allEvents.size()));
+            rest /= allEvents.size();
+            world.check();
+        }
+        ++explored;
+    }
+    CHECK(explored == 78125);
+}
