Count prompt tokens that wait to be read where they are placed, and tell the other instances

Cause: requests were late because several uncached prompts of 8,620 tokens (0.24 s each) waited at one server; the bound on waiting prompt tokens existed, but nothing counted them. Change: a server remembers the beginnings of 128 prompts (LruTable); what it has to read counts until the answer begins and goes into the peers' reports. Retry-After stays within a third of the caller's time; an answer whose caller has left does not count as answered.

--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -4,7 +4,7 @@
     The traffic path on one event loop: callers' connections, the request engine, backend servers and the exchange of
     loads between instances.
 
-    Depends on borageslip_core and borageslip_request (the attempt chart). System libraries: Boost.Asio, Boost.Beast,
+    Depends on borageslip_core, borageslip_request (the attempt chart) and borageslip_routing (LruTable, a header). System libraries: Boost.Asio, Boost.Beast,
     nlohmann_json, prometheus-cpp (core).
 */
 
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -52,6 +52,24 @@
         BackendServerPtr m_server;
     };
 
+    /** Counts the prompt tokens that a server has to read, until its answer begins. */
+    class PendingPrefill {
+    public:
+        PendingPrefill(BackendServerPtr server, int64_t tokens)
+            : m_server(std::move(server))
+            , m_tokens(tokens)
+        {
+            m_server->addPendingPrefill(m_tokens);
+        }
+        ~PendingPrefill() { m_server->addPendingPrefill(-m_tokens); }
+        PendingPrefill(const PendingPrefill&) = delete;
+        PendingPrefill& operator=(const PendingPrefill&) = delete;
+
+    private:
+        BackendServerPtr m_server;
+        int64_t m_tokens;
+    };
+
     /** Keeps a request in the queue for as long as it lives. */
     class QueueEntry {
     public:
@@ -355,9 +373,11 @@
 asio::awaitable<Exchange::AttemptEnd> Exchange::receive(AttemptState& state)
 {
     const auto bodyKind = m_request.method() == boost::beast::http::verb::head ? AnswerReader::Body::None : AnswerReader::Body::Expected;
+    std::optional<PendingPrefill> prefill(std::in_place, state.server, TrafficEngine::uncachedTokens(*state.server, m_facts));
     for (int foreign = 0; foreign <= maxForeignAnswers; ++foreign) {
         AnswerReader reader(bodyKind);
         const bool hasHead = co_await receiveHead(state, reader);
+        prefill.reset();
         if (!hasHead)
             co_return lost(state, "connection lost before an answer");
         const auto facts = m_engine.protocol().answerFacts(reader.head().result_int(), reader.head());
@@ -471,14 +491,15 @@
         }
         isTaken = co_await m_sink.write(reader.takeBody());
     }
-    if (isTaken)
+    if (isTaken) {
         co_await m_sink.end();
+        ++m_engine.counts().answered;
+    }
     state.chart.fire(AttemptEvent::Finish);
     if (reader.isDone())
         release(state, reader);
     else
         state.connection->close();
-    ++m_engine.counts().answered;
     co_return AttemptEnd::Delivered;
 }
 
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -124,6 +124,13 @@
     return admitted;
 }
 
+int64_t TrafficEngine::uncachedTokens(BackendServer& server, const RequestFacts& facts)
+{
+    if (facts.promptParts.empty())
+        return 0;
+    return server.notePrefix(affinityOf(facts)) ? facts.promptParts.back().tokens : facts.promptTokens;
+}
+
 bool TrafficEngine::hasServers(std::string_view service) const
 {
     const auto servers = m_servers.ofService(service);
@@ -181,8 +188,9 @@
 {
     constexpr std::chrono::milliseconds soonest { 150 };
     constexpr std::chrono::milliseconds latest { 1500 };
-    const auto end = std::clamp(timeLeft / 3, soonest, latest);
-    std::uniform_int_distribution<int64_t> spread(soonest.count(), end.count());
+    // Callers honour a time of up to a third of what they have left.
+    const auto end = std::clamp(timeLeft / 3, std::chrono::milliseconds(0), latest);
+    std::uniform_int_distribution<int64_t> spread(std::min(soonest, end).count(), end.count());
     return std::chrono::milliseconds(spread(m_random));
 }
 
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -88,6 +88,9 @@
     /** Chooses a backend server that has a place. @param excluded hashes of those that had the request before. */
     BackendServerPtr choose(const AdmittedRequest&, const RequestFacts&, std::span<const uint64_t> excluded);
 
+    /** Prompt tokens that the server has to read for the request, as far as known. */
+    static int64_t uncachedTokens(BackendServer&, const RequestFacts&);
+
     bool hasServers(std::string_view service) const;
     RequestQueue& queue(const std::string& service) { return m_queues[service]; }
     size_t waitingCount() const;
--- a/modules/borageslip_traffic/peers/PeerBoard.cpp
+++ b/modules/borageslip_traffic/peers/PeerBoard.cpp
@@ -19,14 +19,17 @@
         found->second = { std::move(report), now };
 }
 
-std::unordered_map<uint64_t, int> PeerBoard::uses(TimePoint now) const
+std::unordered_map<uint64_t, ServerUse> PeerBoard::uses(TimePoint now) const
 {
-    std::unordered_map<uint64_t, int> total;
+    std::unordered_map<uint64_t, ServerUse> total;
     for (const auto& [sender, entry] : m_entries) {
         if (now - entry.heardAt > m_lifetime)
             continue;
-        for (const auto& use : entry.report.uses)
-            total[use.server] += static_cast<int>(use.inFlight);
+        for (const auto& use : entry.report.uses) {
+            auto& sum = total[use.server];
+            sum.inFlight += use.inFlight;
+            sum.pendingPrefill += use.pendingPrefill;
+        }
     }
     return total;
 }
--- a/modules/borageslip_traffic/peers/PeerBoard.h
+++ b/modules/borageslip_traffic/peers/PeerBoard.h
@@ -23,8 +23,8 @@
     /** Takes a report unless a newer one of its sender is known. */
     void apply(PeerReport, TimePoint now);
 
-    /** Requests of the other instances, by backend server. */
-    std::unordered_map<uint64_t, int> uses(TimePoint now) const;
+    /** Sum of what the other instances use, by backend server. */
+    std::unordered_map<uint64_t, ServerUse> uses(TimePoint now) const;
 
     /** Whether a report of the instance has come within the lifetime. */
     bool isHeard(std::string_view instance, TimePoint now) const;
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -142,7 +142,7 @@
     PeerReport report { m_ownName, m_incarnation, ++m_sequence, m_takesCallers, {} };
     for (const auto& [id, server] : m_engine.servers().all()) {
         if (server->ownInFlight() > 0)
-            report.uses.push_back({ server->hash(), static_cast<uint32_t>(server->ownInFlight()) });
+            report.uses.push_back({ server->hash(), static_cast<uint32_t>(server->ownInFlight()), static_cast<uint64_t>(server->ownPendingPrefill()) });
     }
     const auto bytes = encodePeerReport(report);
     for (const auto& [name, member] : m_members) {
@@ -157,7 +157,8 @@
     const auto uses = m_board.uses(m_engine.clock().now());
     for (const auto& [id, server] : m_engine.servers().all()) {
         const auto found = uses.find(server->hash());
-        server->setPeersInFlight(found == uses.end() ? 0 : found->second);
+        const auto use = found == uses.end() ? ServerUse() : found->second;
+        server->setPeersUse(static_cast<int>(use.inFlight), static_cast<int64_t>(use.pendingPrefill));
     }
 }
 
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -1,5 +1,6 @@
 #include "PeerReport.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace borageslip {
@@ -15,7 +16,7 @@
 {
     auto uses = nlohmann::json::array();
     for (const auto& use : report.uses)
-        uses.push_back({ use.server, use.inFlight });
+        uses.push_back({ use.server, use.inFlight, use.pendingPrefill });
     return nlohmann::json::to_cbor(nlohmann::json::array({ formatVersion, report.sender, report.incarnation, report.sequence, report.takesCallers, std::move(uses) }));
 }
 
@@ -30,9 +31,10 @@
         return malformed;
     PeerReport report { document[1], document[2], document[3], document[4], {} };
     for (const auto& use : document[5]) {
-        if (!use.is_array() || use.size() != 2 || !use[0].is_number_unsigned() || !use[1].is_number_unsigned())
+        const bool isUse = use.is_array() && use.size() == 3 && std::all_of(use.begin(), use.end(), [](const auto& number) { return number.is_number_unsigned(); });
+        if (!isUse)
             return malformed;
-        report.uses.push_back({ use[0], use[1] });
+        report.uses.push_back({ use[0], use[1], use[2] });
     }
     return report;
 }
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -13,6 +13,7 @@
 struct ServerUse {
     uint64_t server = 0; ///< Hash of its identity.
     uint32_t inFlight = 0;
+    uint64_t pendingPrefill = 0; ///< Prompt tokens that wait to be read there.
 
     bool operator==(const ServerUse&) const = default;
 };
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -3,6 +3,7 @@
 #include "../net/ConnectionPool.h"
 
 #include <borageslip_core/time/Clock.h>
+#include <borageslip_routing/collections/LruTable.h>
 
 #include <cstdint>
 #include <memory>
@@ -50,13 +51,22 @@
 
     /** Requests of all instances at it, as far as known. */
     int inFlight() const { return m_ownInFlight + m_peersInFlight; }
-    void setPeersInFlight(int count) { m_peersInFlight = count; }
+    void setPeersUse(int inFlight, int64_t pendingPrefill)
+    {
+        m_peersInFlight = inFlight;
+        m_peersPendingPrefill = pendingPrefill;
+    }
     void beginRequest() { ++m_ownInFlight; }
     void endRequest() { --m_ownInFlight; }
 
-    /** Prompt tokens that this instance has sent to it and of which no first event has come back. */
-    int64_t pendingPrefill() const { return m_pendingPrefill; }
-    void addPendingPrefill(int64_t tokens) { m_pendingPrefill += tokens; }
+    /** Prompt tokens that all instances have sent to it and to which no answer has begun, as far as known. */
+    int64_t pendingPrefill() const { return m_ownPendingPrefill + m_peersPendingPrefill; }
+    int64_t ownPendingPrefill() const { return m_ownPendingPrefill; }
+    void addPendingPrefill(int64_t tokens) { m_ownPendingPrefill += tokens; }
+
+    /** Notes that a prompt that begins with these parts is sent to it. Returns whether one has been before, so that it
+        has probably read them. */
+    bool notePrefix(uint64_t affinity);
 
     void recordSuccess();
 
@@ -76,7 +86,9 @@
     bool m_isRemoved = false;
     int m_ownInFlight = 0;
     int m_peersInFlight = 0;
-    int64_t m_pendingPrefill = 0;
+    int64_t m_ownPendingPrefill = 0;
+    int64_t m_peersPendingPrefill = 0;
+    LruTable<char> m_prefixes; ///< Beginnings of prompts that were sent to it; the values are not used.
     int m_consecutiveFailures = 0;
     TimePoint m_coldUntil {};
     TimePoint m_ejectedUntil {};
--- a/tests/borageslip_traffic/PolicyTests.cpp
+++ b/tests/borageslip_traffic/PolicyTests.cpp
@@ -40,6 +40,26 @@
     CHECK(*second != home);
 }
 
+TEST_CASE("a server with a long backlog of prompts gets no more of them while another one has less")
+{
+    auto candidates = candidatesOf({ 1, 1, 1, 1 });
+    const auto home = *chooseServer(candidates, 77, 1);
+    candidates[home].pendingPrefill = 100000;
+    CHECK(*chooseServer(candidates, 77, 1) != home);
+}
+
+TEST_CASE("a server remembers a bounded number of prompts' beginnings")
+{
+    boost::asio::io_context context;
+    ManualClock clock;
+    BackendServer server({}, clock, context.get_executor());
+    CHECK_FALSE(server.notePrefix(1));
+    CHECK(server.notePrefix(1));
+    for (uint64_t prefix = 2; prefix < 1000; ++prefix)
+        server.notePrefix(prefix);
+    CHECK_FALSE(server.notePrefix(1));
+}
+
 TEST_CASE("no server gets work over the cap on skew, whatever the choice is based on")
 {
     std::minstd_rand random(11);
@@ -136,7 +156,7 @@
 
 TEST_CASE("a peer's report survives its encoding, and bytes that are none are refused")
 {
-    const PeerReport report { "entry-1", 12, 34, true, { { 0xfeedfacecafebeefU, 7 }, { 1, 2 } } };
+    const PeerReport report { "entry-1", 12, 34, true, { { 0xfeedfacecafebeefU, 7, 9000 }, { 1, 2, 0 } } };
     const auto bytes = encodePeerReport(report);
     const auto decoded = decodePeerReport(bytes);
     REQUIRE(isOk(decoded));
@@ -149,10 +169,11 @@
 {
     ManualClock clock;
     PeerBoard board(1s);
-    board.apply({ "a", 1, 5, true, { { 9, 3 } } }, clock.now());
-    board.apply({ "a", 1, 4, false, { { 9, 8 } } }, clock.now());
-    board.apply({ "b", 1, 1, true, { { 9, 2 } } }, clock.now());
-    CHECK(board.uses(clock.now()).at(9) == 5);
+    board.apply({ "a", 1, 5, true, { { 9, 3, 100 } } }, clock.now());
+    board.apply({ "a", 1, 4, false, { { 9, 8, 0 } } }, clock.now());
+    board.apply({ "b", 1, 1, true, { { 9, 2, 50 } } }, clock.now());
+    CHECK(board.uses(clock.now()).at(9).inFlight == 5);
+    CHECK(board.uses(clock.now()).at(9).pendingPrefill == 150);
     CHECK(board.takesCallers("a"));
     clock.advance(1100ms);
     CHECK(board.uses(clock.now()).empty());
