--- a/modules/borageslip_report/explain/RequestStory.cpp
+++ b/modules/borageslip_report/explain/RequestStory.cpp
@@ -67,6 +67,7 @@
                 latest[{ line.process, line.event }] = line;
         }
         std::vector<StoryLine> lines;
+        lines.reserve(latest.size());
         for (auto& [key, line] : latest)
             lines.push_back(std::move(line));
         return lines;
