--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -1,5 +1,7 @@
 #include "Exchange.h"
 
+#include "ExchangeGuards.h"
+
 #include <borageslip_core/errors/Invariant.h>
 #include <borageslip_core/logging/Log.h>
 
@@ -9,7 +11,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <charconv>
 
 namespace borageslip {
 
@@ -30,85 +31,6 @@
     // A caller that waits in the queue beyond this part of its latency objective is better told to come back.
     constexpr int waitDivisor = 2;
 
-    /** Counts a request at a backend server for as long as it lives. */
-    class InFlight {
-    public:
-        InFlight(TrafficEngine& engine, BackendServerPtr server)
-            : m_engine(engine)
-            , m_server(std::move(server))
-        {
-            m_server->beginRequest();
-        }
-        ~InFlight()
-        {
-            m_server->endRequest();
-            m_engine.placeFreed(m_server->description().service);
-        }
-        InFlight(const InFlight&) = delete;
-        InFlight& operator=(const InFlight&) = delete;
-
-    private:
-        TrafficEngine& m_engine;
-        BackendServerPtr m_server;
-    };
-
-    /** Counts the prompt tokens that a server has to read, until its answer begins. */
-    class PendingPrefill {
-    public:
-        PendingPrefill(BackendServerPtr server, int64_t tokens)
-            : m_server(std::move(server))
-            , m_tokens(tokens)
-        {
-            m_server->addPendingPrefill(m_tokens);
-        }
-        ~PendingPrefill() { m_server->addPendingPrefill(-m_tokens); }
-        PendingPrefill(const PendingPrefill&) = delete;
-        PendingPrefill& operator=(const PendingPrefill&) = delete;
-
-    private:
-        BackendServerPtr m_server;
-        int64_t m_tokens;
-    };
-
-    /** Keeps a request in the queue for as long as it lives. */
-    class QueueEntry {
-    public:
-        QueueEntry(RequestQueue& queue, const WaitingRequest& request)
-            : m_queue(queue)
-            , m_request(request)
-        {
-            m_queue.add(m_request);
-        }
-        ~QueueEntry()
-        {
-            m_queue.remove(m_request);
-            m_queue.wakeFirst();
-        }
-        QueueEntry(const QueueEntry&) = delete;
-        QueueEntry& operator=(const QueueEntry&) = delete;
-
-        bool isFirst() const { return m_queue.isFirst(m_request); }
-
-    private:
-        RequestQueue& m_queue;
-        WaitingRequest m_request;
-    };
-
-    std::optional<Duration> keepAliveOf(const HttpResponseHead& head)
-    {
-        constexpr std::string_view parameter = "timeout=";
-        const auto field = head[boost::beast::http::field::keep_alive];
-        const std::string_view text(field.data(), field.size());
-        const auto start = text.find(parameter);
-        if (start == std::string_view::npos)
-            return std::nullopt;
-        int seconds = 0;
-        const auto* digits = text.data() + start + parameter.size();
-        if (std::from_chars(digits, text.data() + text.size(), seconds).ec != std::errc())
-            return std::nullopt;
-        return std::chrono::seconds(seconds);
-    }
-
     milliseconds toMilliseconds(Duration duration)
     {
         return std::chrono::duration_cast<milliseconds>(duration);
@@ -239,7 +161,7 @@
     if (queue.size() >= maxWaiting)
         co_return overloaded;
     const auto giveUpAt = std::min(m_deadline, m_arrivedAt + route().latencyObjective / waitDivisor);
-    const QueueEntry entry(queue, { m_admitted.accountPriority, route().priority, m_deadline, m_engine.nextOrder(), &m_placeSignal });
+    const detail::QueueEntry entry(queue, { m_admitted.accountPriority, route().priority, m_deadline, m_engine.nextOrder(), &m_placeSignal });
     while (m_stop == Stop::None) {
         if (entry.isFirst()) {
             if (auto server = choose())
@@ -256,7 +178,7 @@
 asio::awaitable<Exchange::AttemptEnd> Exchange::attempt(BackendServerPtr server)
 {
     m_records.push_back({ server->description().id, server->inFlight(), toMilliseconds(m_engine.clock().now() - m_arrivedAt), toMilliseconds(m_engine.knowledgeAge()) });
-    const InFlight inFlight(m_engine, server);
+    const detail::InFlight inFlight(m_engine, server);
     m_tried.push_back(server->hash());
     AttemptState state { server, server->pool().takeIdle() };
     if (!state.connection) {
@@ -373,7 +295,7 @@
 asio::awaitable<Exchange::AttemptEnd> Exchange::receive(AttemptState& state)
 {
     const auto bodyKind = m_request.method() == boost::beast::http::verb::head ? AnswerReader::Body::None : AnswerReader::Body::Expected;
-    std::optional<PendingPrefill> prefill(std::in_place, state.server, TrafficEngine::uncachedTokens(*state.server, m_facts));
+    std::optional<detail::PendingPrefill> prefill(std::in_place, state.server, TrafficEngine::uncachedTokens(*state.server, m_facts));
     for (int foreign = 0; foreign <= maxForeignAnswers; ++foreign) {
         AnswerReader reader(bodyKind);
         const bool hasHead = co_await receiveHead(state, reader);
@@ -464,7 +386,7 @@
         connection->close();
         return;
     }
-    connection->keepAlive = keepAliveOf(reader.head());
+    connection->keepAlive = keepAliveTime(reader.head());
     state.server->pool().giveBack(connection);
 }
 
--- a/modules/borageslip_traffic/http/HttpMessages.cpp
+++ b/modules/borageslip_traffic/http/HttpMessages.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
 #include <vector>
 
 namespace borageslip {
@@ -166,6 +167,21 @@
     }
 }
 
+std::optional<std::chrono::seconds> keepAliveTime(const HttpResponseHead& head)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto field = head[http::field::keep_alive];
+    const std::string_view text(field.data(), field.size());
+    const auto start = text.find(parameter);
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const auto* digits = text.data() + start + parameter.size();
+    if (std::from_chars(digits, text.data() + text.size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 namespace {
 
     void appendFields(std::string& text, const http::fields& fields)
--- a/modules/borageslip_traffic/http/HttpMessages.h
+++ b/modules/borageslip_traffic/http/HttpMessages.h
@@ -5,6 +5,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -92,6 +93,9 @@
 /** Removes the fields that concern one connection only, with those that the Connection field names. */
 void removeConnectionFields(boost::beast::http::fields&);
 
+/** Returns how long the sender of the head keeps an idle connection, if it says so. */
+std::optional<std::chrono::seconds> keepAliveTime(const HttpResponseHead&);
+
 /** Returns a request's head as bytes, with the length of the body that follows it. */
 std::string serializeRequestHead(const HttpRequest&, size_t bodyBytes);
 
--- a/tests/borageslip_traffic/HttpMessagesTests.cpp
+++ b/tests/borageslip_traffic/HttpMessagesTests.cpp
@@ -139,3 +139,13 @@
     CHECK(fields.count("X-Public") == 1);
     CHECK(std::distance(fields.begin(), fields.end()) == 1);
 }
+
+TEST_CASE("the time for which a server keeps an idle connection is read, and a malformed one counts as not stated")
+{
+    HttpResponseHead head;
+    CHECK_FALSE(keepAliveTime(head));
+    head.set("Keep-Alive", "timeout=5, max=100");
+    CHECK(keepAliveTime(head) == std::chrono::seconds(5));
+    head.set("Keep-Alive", "timeout=soon");
+    CHECK_FALSE(keepAliveTime(head));
+}
