--- a/tests/borageslip_traffic/PolicyTests.cpp
+++ b/tests/borageslip_traffic/PolicyTests.cpp
@@ -65,6 +65,7 @@
     std::minstd_rand random(11);
     for (int round = 0; round < 2000; ++round) {
         std::vector<int> loads;
+        loads.reserve(9);
         for (int i = 0; i < 9; ++i)
             loads.push_back(static_cast<int>(random() % 30));
         const auto candidates = candidatesOf(loads);
