--- a/modules/borageslip_request/stream/SseParser.cpp
+++ b/modules/borageslip_request/stream/SseParser.cpp
@@ -30,7 +30,9 @@
 
 StreamFlow SseParser::endLine(const EventHandler& handler)
 {
-    const auto line = std::exchange(m_line, {});
+    std::string bytes;
+    bytes.swap(m_line);
+    const std::string_view line = bytes;
     if (line.empty()) {
         if (!std::exchange(m_hasData, false))
             return StreamFlow::Continue;
@@ -40,7 +42,7 @@
     const auto colon = line.find(':');
     if (line.substr(0, colon) != "data")
         return StreamFlow::Continue;
-    std::string_view field = colon == std::string::npos ? std::string_view {} : std::string_view(line).substr(colon + 1);
+    std::string_view field = colon == std::string::npos ? std::string_view {} : line.substr(colon + 1);
     if (field.starts_with(' '))
         field.remove_prefix(1);
     if (std::exchange(m_hasData, true))
--- a/tests/borageslip_core/StateChartTests.cpp
+++ b/tests/borageslip_core/StateChartTests.cpp
@@ -38,6 +38,6 @@
 
 TEST_CASE("every committed chart is valid")
 {
-    for (const auto& entry : std::filesystem::directory_iterator(std::string(BORAGESLIP_SOURCE_DIR) + "/charts"))
+    for (const auto& entry : std::filesystem::directory_iterator(BORAGESLIP_SOURCE_DIR "/charts"))
         CHECK_NOTHROW(StateChart::named(entry.path().stem().string()));
 }
--- a/tools/lint_stamps.py
+++ b/tools/lint_stamps.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Prints a line "STAMP FILE" for each compiled source file of the project.
+"""Prints a line "STAMP FILE" for each compiled source file of the project, and writes the compile commands for the linter.
 
 The stamp covers the file, the project's headers that it includes, its compile command and the linter's settings, so that a
 changed header makes the linter read only the files that include it.
@@ -7,6 +7,7 @@
 import hashlib
 import json
 import pathlib
+import re
 import subprocess
 import sys
 
@@ -24,6 +25,14 @@
     return result
 
 
+def commands_without_precompiled_headers(build):
+    """Returns the compile commands with <utility>, which some headers need, in the place of the precompiled headers."""
+    commands = json.loads((build / "compile_commands.json").read_text())
+    for command in commands:
+        command["command"] = re.sub(r"-Winvalid-pch -include \S+/cmake_pch\.hxx", "-include utility", command["command"]).replace(" -fpch-preprocess", "")
+    return commands
+
+
 def main():
     build = pathlib.Path(sys.argv[1]).resolve()
     root = pathlib.Path.cwd().resolve()
@@ -36,7 +45,9 @@
             digests[path] = hashlib.sha1(path.read_bytes()).digest()
         return digests[path]
 
-    for command in json.loads((build / "compile_commands.json").read_text()):
+    commands = commands_without_precompiled_headers(build)
+    (pathlib.Path(sys.argv[2]) / "compile_commands.json").write_text(json.dumps(commands, indent=1))
+    for command in commands:
         source = pathlib.Path(command["file"])
         if root not in source.parents or build in source.parents:
             continue
