--- a/modules/borageslip_core/borageslip_core.h
+++ b/modules/borageslip_core/borageslip_core.h
@@ -7,6 +7,7 @@
     Depends on no other module. System libraries: nlohmann_json, valijson, Boost.Log, cpp-httplib, OpenSSL, xxHash.
 */
 
+#include "encoding/Cbor.h"
 #include "encoding/Digest.h"
 #include "errors/Error.h"
 #include "errors/ErrorKind.h"
--- a/modules/borageslip_daemon/entry/AccountLimits.cpp
+++ b/modules/borageslip_daemon/entry/AccountLimits.cpp
@@ -1,6 +1,7 @@
 #include "AccountLimits.h"
 
 #include <algorithm>
+#include <borageslip_core/encoding/Cbor.h>
 #include <utility>
 
 namespace borageslip {
@@ -139,7 +140,7 @@
 Result<AccountLimits::Decoded> AccountLimits::decode(std::string_view bytes)
 {
     const Error malformed { ErrorKind::InvalidMessage, "malformed usage report" };
-    const auto list = nlohmann::json::from_cbor(bytes, true, false);
+    const auto list = parseCbor(bytes);
     if (!list.is_array() || list.empty() || list.size() % 2 == 0 || !list[0].is_string())
         return malformed;
     Decoded decoded;
--- a/modules/borageslip_daemon/front/ServiceHandler.cpp
+++ b/modules/borageslip_daemon/front/ServiceHandler.cpp
@@ -3,6 +3,7 @@
 #include "../settings/DaemonSettings.h"
 
 #include <algorithm>
+#include <borageslip_core/encoding/Cbor.h>
 
 namespace borageslip {
 
@@ -36,7 +37,7 @@
     Result<RecordedOutcome> decodeOutcome(std::string_view bytes)
     {
         const Error malformed { ErrorKind::InvalidMessage, "malformed outcome from a peer" };
-        const auto body = nlohmann::json::from_cbor(bytes, true, false);
+        const auto body = parseCbor(bytes);
         if (!body.is_array() || body.size() != 3 || !body[0].is_number_integer() || !body[1].is_array() || !body[2].is_binary())
             return malformed;
         RecordedOutcome outcome;
--- a/modules/borageslip_membership/codec/SwimCodec.cpp
+++ b/modules/borageslip_membership/codec/SwimCodec.cpp
@@ -1,6 +1,7 @@
 #include "SwimCodec.h"
 
 #include <algorithm>
+#include <borageslip_core/encoding/Cbor.h>
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -259,7 +260,7 @@
     const auto body = datagram.subspan(tagBytes);
     if (!isAuthentic(datagram.first(tagBytes), body))
         return std::nullopt;
-    const auto document = json::from_cbor(body.begin(), body.end(), true, false);
+    const auto document = parseCbor(body);
     if (!document.is_array() || document.empty())
         return std::nullopt;
     return messageFromJson(document);
--- a/modules/borageslip_routing/health/EngineEjector.cpp
+++ b/modules/borageslip_routing/health/EngineEjector.cpp
@@ -78,12 +78,17 @@
     return changes;
 }
 
-bool EngineEjector::tryProbe(EngineHash engine, TimePoint now)
+bool EngineEjector::isProbeDue(EngineHash engine, TimePoint now) const
 {
     const auto found = m_engines.find(engine);
-    if (found == m_engines.end() || found->second.step != ejectedStep || now - found->second.lastProbe < m_settings.probeInterval)
+    return found != m_engines.end() && found->second.step == ejectedStep && now - found->second.lastProbe >= m_settings.probeInterval;
+}
+
+bool EngineEjector::tryProbe(EngineHash engine, TimePoint now)
+{
+    if (!isProbeDue(engine, now))
         return false;
-    found->second.lastProbe = now;
+    m_engines.at(engine).lastProbe = now;
     return true;
 }
 
@@ -111,8 +116,9 @@
         if (own && fleet && fleet->count() > 0)
             worst = std::max(worst.value_or(0), static_cast<double>(own->count()) / static_cast<double>(fleet->count()));
     }
+    // Without others to compare with, good answers alone bring an engine back that was lowered for its failures.
     if (!worst)
-        return Verdict::TooFewSamples;
+        return state.successes >= minimum ? Verdict::Healthy : Verdict::TooFewSamples;
     if (*worst > m_settings.slowRatio)
         return Verdict::Unhealthy;
     return *worst < m_settings.recoveredRatio ? Verdict::Healthy : Verdict::Middling;
--- a/modules/borageslip_routing/health/EngineEjector.h
+++ b/modules/borageslip_routing/health/EngineEjector.h
@@ -75,6 +75,9 @@
     /** Compares every engine with the fleet and returns the weights that change. Call it about once per second. */
     std::vector<WeightChange> evaluate(TimePoint now);
 
+    /** Whether a request may go to this ejected engine as a probe. */
+    bool isProbeDue(EngineHash, TimePoint now) const;
+
     /** True when the next request should go to this ejected engine as a probe; at most once per probe interval. */
     bool tryProbe(EngineHash, TimePoint now);
 
--- a/modules/borageslip_routing/limits/FairQueue.cpp
+++ b/modules/borageslip_routing/limits/FairQueue.cpp
@@ -12,27 +12,37 @@
         return {};
     PushResult result { true };
     if (m_size >= m_maxRequests) {
-        const auto longest = std::max_element(m_rotation.begin(), m_rotation.end(), [](const Flow& first, const Flow& second) { return first.requests.size() < second.requests.size(); });
-        if (longest == m_rotation.end() || longest->requests.size() <= own + 1)
+        result.displaced = makeRoomFor(request.account);
+        if (!result.displaced)
             return {};
-        result.displaced = std::move(longest->requests.back());
-        longest->requests.pop_back();
-        --m_size;
     }
     auto found = m_flows.find(request.account);
     if (found == m_flows.end()) {
         m_rotation.push_back({ request.account, {} });
         found = m_flows.emplace(request.account, std::prev(m_rotation.end())).first;
     }
-    found->second->requests.push_back(std::move(request));
+    auto& requests = found->second->requests;
+    const auto position = std::upper_bound(requests.begin(), requests.end(), request, [](const QueuedRequest& first, const QueuedRequest& second) { return first.deadline < second.deadline; });
+    requests.insert(position, std::move(request));
     ++m_size;
     return result;
 }
 
-std::optional<QueuedRequest> FairQueue::pop()
+std::optional<QueuedRequest> FairQueue::makeRoomFor(const AccountId& account)
 {
-    if (m_size == 0)
+    const auto longest = std::max_element(m_rotation.begin(), m_rotation.end(), [](const Flow& first, const Flow& second) { return first.requests.size() < second.requests.size(); });
+    if (longest == m_rotation.end() || longest->requests.size() <= sizeOf(account) + 1)
         return std::nullopt;
+    auto displaced = std::move(longest->requests.back());
+    longest->requests.pop_back();
+    --m_size;
+    return displaced;
+}
+
+const QueuedRequest* FairQueue::front()
+{
+    if (m_size == 0)
+        return nullptr;
     // When no head is affordable after a whole round, the rounds that would add nothing but quanta are skipped.
     for (size_t visits = 0;; ++visits) {
         if (visits > 0 && visits % m_rotation.size() == 0) {
@@ -49,20 +59,27 @@
             flow->isVisited = true;
             flow->deficit += m_quantum;
         }
-        if (flow->requests.front().cost <= flow->deficit + 1e-9) {
-            flow->deficit -= flow->requests.front().cost;
-            auto request = std::move(flow->requests.front());
-            flow->requests.pop_front();
-            --m_size;
-            if (flow->requests.empty())
-                eraseFlow(flow);
-            return request;
-        }
+        if (flow->requests.front().cost <= flow->deficit + 1e-9)
+            return &flow->requests.front();
         flow->isVisited = false;
         m_rotation.splice(m_rotation.end(), m_rotation, flow);
     }
 }
 
+std::optional<QueuedRequest> FairQueue::pop()
+{
+    if (front() == nullptr)
+        return std::nullopt;
+    const auto flow = m_rotation.begin();
+    auto request = std::move(flow->requests.front());
+    flow->deficit -= request.cost;
+    flow->requests.pop_front();
+    --m_size;
+    if (flow->requests.empty())
+        eraseFlow(flow);
+    return request;
+}
+
 bool FairQueue::remove(const RequestId& id)
 {
     return !removeIf([&id](const QueuedRequest& request, size_t) { return request.id == id; }).empty();
--- a/modules/borageslip_routing/limits/FairQueue.h
+++ b/modules/borageslip_routing/limits/FairQueue.h
@@ -22,7 +22,8 @@
 };
 
 /** Bounded queue with deficit round robin between accounts: over time, each account that has work waiting is served the
-    same cost. When the queue is full, the account with the longest backlog gives up its newest request. */
+    same cost. Within an account the earliest deadline goes first, and among equal deadlines the oldest request. When
+    the queue is full, the account with the longest backlog gives up its last request. */
 class FairQueue {
 public:
     FairQueue(size_t maxRequests, size_t maxPerAccount, double quantum = 1)
@@ -39,12 +40,20 @@
 
     PushResult push(QueuedRequest);
 
+    /** Returns the next request in fair order, or null when none waits. It stays the next one until it is removed or a
+        request of its account with an earlier deadline comes. */
+    const QueuedRequest* front();
+
     /** Removes and returns the next request in fair order. */
     std::optional<QueuedRequest> pop();
 
+    /** Removes and returns the last request of the account with the longest backlog, if that backlog would still be no
+        shorter than that of the named account with one request more. */
+    std::optional<QueuedRequest> makeRoomFor(const AccountId&);
+
     bool remove(const RequestId&);
 
-    /** Called once for each request, oldest first within its account. @param ahead requests of the same account that
+    /** Called once for each request, in order within its account. @param ahead requests of the same account that
         are ahead of it and stay. */
     using Predicate = std::function<bool(const QueuedRequest&, size_t ahead)>;
 
--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -4,8 +4,8 @@
     The traffic path on one event loop: callers' connections, the request engine, backend servers and the exchange of
     loads between instances.
 
-    Depends on borageslip_core, borageslip_request (the attempt chart) and borageslip_routing (LruTable, a header). System libraries: Boost.Asio, Boost.Beast,
-    nlohmann_json, prometheus-cpp (core).
+    Depends on borageslip_core, borageslip_request (the attempt chart) and borageslip_routing (fair queue, health of
+    servers, bounded tables). System libraries: Boost.Asio, Boost.Beast, nlohmann_json, prometheus-cpp (core).
 */
 
 #include "caller/CallerListener.h"
@@ -15,10 +15,15 @@
 #include "engine/AnswerSink.h"
 #include "engine/EventFilter.h"
 #include "engine/Exchange.h"
+#include "engine/ExchangeRecord.h"
 #include "engine/TrafficEngine.h"
 #include "http/HttpMessages.h"
 #include "limits/FleetRetryBudget.h"
 #include "limits/RequestQueue.h"
+#include "limits/ReturnTime.h"
+#include "limits/WaitingRoom.h"
+#include "metrics/DurationHistogram.h"
+#include "metrics/TrafficCounts.h"
 #include "metrics/TrafficMetrics.h"
 #include "net/ConnectionPool.h"
 #include "net/ServerConnection.h"
@@ -31,4 +36,5 @@
 #include "placement/ServerChoice.h"
 #include "protocol/CallerProtocol.h"
 #include "servers/BackendServer.h"
+#include "servers/ServerHealth.h"
 #include "servers/ServerTable.h"
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -25,12 +25,8 @@
     constexpr int maxForeignAnswers = 2; ///< Answers to other requests that are passed over on one connection.
     constexpr size_t maxBufferedAnswer = 256 * 1024; ///< Bytes; a longer answer is passed on while it arrives.
     constexpr size_t maxInlineRequest = 4 * 1024; ///< Bytes; a longer body is written while the answer is awaited.
-    constexpr size_t maxWaiting = 256; ///< Requests in the queue of one service.
     constexpr Duration queueInterval = milliseconds(20); ///< Loads of other instances change without a notification.
 
-    // A caller that waits in the queue beyond this part of its latency objective is better told to come back.
-    constexpr int waitDivisor = 2;
-
     milliseconds toMilliseconds(Duration duration)
     {
         return std::chrono::duration_cast<milliseconds>(duration);
@@ -47,6 +43,7 @@
     , m_deadline(arrivedAt)
     , m_deadlineTimer(engine.executor())
     , m_placeSignal(engine.executor())
+    , m_record(m_facts.requestId, arrivedAt)
 {
 }
 
@@ -68,7 +65,7 @@
     startDeadline();
     co_await serve();
     m_deadlineTimer.cancel();
-    m_engine.counts().recordDuration(m_engine.clock().now() - m_arrivedAt);
+    m_engine.counts().durations.record(m_engine.clock().now() - m_arrivedAt);
 }
 
 void Exchange::startDeadline()
@@ -103,8 +100,7 @@
 
 asio::awaitable<void> Exchange::serve()
 {
-    auto& budget = m_engine.retryBudget(m_admitted.service);
-    budget.recordRequest(m_engine.clock().now());
+    m_engine.retryBudget(m_admitted.service).recordRequest(m_engine.clock().now());
     int unreachable = 0;
     while (m_stop == Stop::None && m_sends < route().maxAttempts && unreachable < maxUnreachable) {
         auto server = co_await awaitServer();
@@ -112,7 +108,7 @@
             m_lastError = error(server);
             break;
         }
-        if (m_sends > 0 && !m_hasRetryGrant && !budget.tryRetry(m_engine.clock().now()))
+        if (m_sends > 0 && !m_hasRetryGrant && !takeRetry())
             break;
         if (m_sends > 0)
             ++m_engine.counts().retries;
@@ -145,7 +141,7 @@
     if (!m_engine.hasServers(m_admitted.service))
         co_return Error { ErrorKind::NoEngineAvailable, "no backend server of \"" + m_admitted.service + "\" is in service" };
     const bool isRepeat = !m_tried.empty();
-    if (isRepeat || m_engine.queue(m_admitted.service).isEmpty()) {
+    if (isRepeat || m_engine.waitingRoom(m_admitted.service).isEmpty()) {
         if (auto server = choose())
             co_return server;
     }
@@ -154,30 +150,56 @@
     co_return co_await waitInQueue();
 }
 
+void Exchange::noteWait(TimePoint since)
+{
+    const auto waited = m_engine.clock().now() - since;
+    m_record.waited(waited);
+    m_engine.counts().waits.record(waited);
+}
+
+bool Exchange::takeRetry()
+{
+    const bool isAllowed = m_engine.retryBudget(m_admitted.service).tryRetry(m_engine.clock().now());
+    if (!isAllowed)
+        ++m_engine.counts().retriesDenied;
+    return isAllowed;
+}
+
+QueuedRequest Exchange::queuedRequest() const
+{
+    // Callers choose the identities of their requests, and a repeated one may come while the first one waits.
+    const RequestId id(std::to_string(m_engine.nextOrder()));
+    return { id, AccountId(m_admitted.account), requestCost(m_facts.promptTokens, m_facts.maxOutputTokens), m_engine.clock().now(), m_deadline };
+}
+
 asio::awaitable<Result<BackendServerPtr>> Exchange::waitInQueue()
 {
     const Error overloaded { ErrorKind::Overloaded, "no place at a backend server of \"" + m_admitted.service + "\" in time" };
-    auto& queue = m_engine.queue(m_admitted.service);
-    if (queue.size() >= maxWaiting)
-        co_return overloaded;
-    const auto giveUpAt = std::min(m_deadline, m_arrivedAt + route().latencyObjective / waitDivisor);
-    const detail::QueueEntry entry(queue, { m_admitted.accountPriority, route().priority, m_deadline, m_engine.nextOrder(), &m_placeSignal });
-    while (m_stop == Stop::None) {
-        if (entry.isFirst()) {
-            if (auto server = choose())
+    // A stream's time limit ends with its last event, and its caller is served from the first one on.
+    const auto serviceTime = route().kind == RequestKind::Stream ? Duration::zero() : m_engine.serviceTime(m_admitted.service);
+    const auto giveUpAt = latestStart(m_arrivedAt, m_deadline, route().latencyObjective, serviceTime);
+    WaitingPlace place(m_engine.waitingRoom(m_admitted.service), { m_admitted.accountPriority, route().priority }, queuedRequest(), m_placeSignal);
+    const auto queuedAt = m_engine.clock().now();
+    while (m_stop == Stop::None && place.isKept()) {
+        if (place.isFirst()) {
+            if (auto server = choose()) {
+                place.take();
+                noteWait(queuedAt);
                 co_return server;
+            }
         }
         const auto left = giveUpAt - m_engine.clock().now();
         if (left <= Duration::zero())
             break;
         co_await m_placeSignal.waitFor(std::min<Duration>(left, queueInterval));
     }
+    noteWait(queuedAt);
     co_return overloaded;
 }
 
 asio::awaitable<Exchange::AttemptEnd> Exchange::attempt(BackendServerPtr server)
 {
-    m_records.push_back({ server->description().id, server->inFlight(), toMilliseconds(m_engine.clock().now() - m_arrivedAt), toMilliseconds(m_engine.knowledgeAge()) });
+    m_record.sent(*server, m_engine);
     const detail::InFlight inFlight(m_engine, server);
     m_tried.push_back(server->hash());
     AttemptState state { server, server->pool().takeIdle() };
@@ -233,6 +255,8 @@
 asio::awaitable<Exchange::AttemptEnd> Exchange::send(AttemptState& state)
 {
     state.chart.fire(AttemptEvent::Send);
+    state.sentAt = m_engine.clock().now();
+    health().recordSend(state.server->hash(), state.sentAt);
     auto head = handoverHead(*state.server);
     // A backend server may answer before it has read a long body, and read on later.
     if (head.size() + m_request.body().size() > maxInlineRequest)
@@ -295,7 +319,7 @@
 asio::awaitable<Exchange::AttemptEnd> Exchange::receive(AttemptState& state)
 {
     const auto bodyKind = m_request.method() == boost::beast::http::verb::head ? AnswerReader::Body::None : AnswerReader::Body::Expected;
-    std::optional<detail::PendingPrefill> prefill(std::in_place, state.server, TrafficEngine::uncachedTokens(*state.server, m_facts));
+    std::optional<detail::PendingPrefill> prefill(std::in_place, state.server, m_engine.uncachedTokens(*state.server, m_facts));
     for (int foreign = 0; foreign <= maxForeignAnswers; ++foreign) {
         AnswerReader reader(bodyKind);
         const bool hasHead = co_await receiveHead(state, reader);
@@ -316,6 +340,7 @@
             co_return misdirected(state);
         if (facts.isNotRun)
             co_return co_await refusedByServer(state, reader);
+        noteAnswer(state, reader.head().result_int());
         const bool isSuccess = reader.head().result_int() / 100 == 2;
         if (!isSuccess && mayRetryFailure(reader.head().result_int())) {
             m_mayHaveRun = true;
@@ -332,10 +357,24 @@
     co_return lost(state, "answers to other requests");
 }
 
+ServerHealth& Exchange::health()
+{
+    return m_engine.servers().health(m_admitted.service);
+}
+
+void Exchange::noteAnswer(const AttemptState& state, unsigned status)
+{
+    const auto now = m_engine.clock().now();
+    if (status / 100 == 5)
+        health().recordFailure(state.server->hash(), state.sentAt, now);
+    else
+        health().recordAnswer(state.server->hash(), now - state.sentAt, state.sentAt, now);
+}
+
 bool Exchange::mayRetryFailure(unsigned status)
 {
     const bool isAllowed = status >= 500 && route().mayRunAgain() && m_sends + 1 < route().maxAttempts;
-    if (!isAllowed || !m_engine.retryBudget(m_admitted.service).tryRetry(m_engine.clock().now()))
+    if (!isAllowed || !takeRetry())
         return false;
     m_hasRetryGrant = true;
     return true;
@@ -349,8 +388,7 @@
     m_lastError = { ErrorKind::EngineUnreachable, "another backend server has the address" };
     logEvent(Severity::Info, "misdirected", { { "request", m_facts.requestId }, { "server", state.server->description().id } });
     // The request has not been sent to the server that was meant, but the send counts against the budget.
-    const bool mayGoOn = m_engine.retryBudget(m_admitted.service).tryRetry(m_engine.clock().now());
-    return mayGoOn ? AttemptEnd::NotSent : AttemptEnd::NotRun;
+    return takeRetry() ? AttemptEnd::NotSent : AttemptEnd::NotRun;
 }
 
 asio::awaitable<Exchange::AttemptEnd> Exchange::refusedByServer(AttemptState& state, AnswerReader& reader)
@@ -371,6 +409,7 @@
     m_lastError = { ErrorKind::ServiceFailed, std::string(reason) };
     if (m_stop == Stop::None) {
         state.server->recordFailure();
+        health().recordFailure(state.server->hash(), state.sentAt, m_engine.clock().now());
         logEvent(Severity::Warning, "answer-lost", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "reason", reason } });
     }
     return AttemptEnd::Lost;
@@ -416,6 +455,7 @@
     if (isTaken) {
         co_await m_sink.end();
         ++m_engine.counts().answered;
+        m_engine.recordServiceTime(m_admitted.service, m_engine.clock().now() - state.sentAt);
     }
     state.chart.fire(AttemptEvent::Finish);
     if (reader.isDone())
@@ -465,29 +505,8 @@
 
 void Exchange::logOutcome(Severity severity, std::string_view event, std::string_view outcome, std::string_view detail) const
 {
-    if (!isLogged(severity))
-        return;
-    auto sends = nlohmann::json::array();
-    for (const auto& record : m_records)
-        sends.push_back({ { "server", record.server }, { "in_flight", record.inFlight }, { "after_ms", record.after.count() }, { "knowledge_age_ms", record.knowledgeAge.count() } });
-    nlohmann::json fields {
-        { "request", m_facts.requestId },
-        { "outcome", outcome },
-        { "duration_ms", toMilliseconds(m_engine.clock().now() - m_arrivedAt).count() },
-        { "knowledge_age_ms", toMilliseconds(m_engine.knowledgeAge()).count() },
-        { "sends", std::move(sends) },
-    };
-    if (!detail.empty())
-        fields["detail"] = detail;
-    if (m_admitted.route != nullptr) {
-        fields["route"] = m_admitted.route->name;
-        fields["service"] = m_admitted.service;
-        fields["account"] = m_admitted.account;
-        fields["configuration"] = m_admitted.configuration->version();
-    } else if (m_engine.configuration()) {
-        fields["configuration"] = m_engine.configuration()->version();
-    }
-    logEvent(severity, event, fields);
+    if (isLogged(severity))
+        m_record.log(severity, event, outcome, detail, m_engine, m_admitted);
 }
 
 asio::awaitable<void> Exchange::conclude(Error failure)
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -2,9 +2,9 @@
 
 #include "AnswerSink.h"
 #include "EventFilter.h"
+#include "ExchangeRecord.h"
 #include "TrafficEngine.h"
 
-#include <borageslip_core/logging/Log.h>
 #include <borageslip_request/attempt/AttemptChart.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -50,6 +50,7 @@
         BackendServerPtr server;
         ServerConnectionPtr connection;
         Attempt chart {};
+        TimePoint sentAt {};
         std::shared_ptr<bool> isWritten = std::make_shared<bool>(false);
     };
 
@@ -70,6 +71,11 @@
     static boost::asio::awaitable<void> writeRequest(std::shared_ptr<Exchange>, ServerConnectionPtr, std::string head, std::shared_ptr<bool> isWritten);
 
     BackendServerPtr choose();
+    QueuedRequest queuedRequest() const;
+    void noteWait(TimePoint since);
+    bool takeRetry();
+    ServerHealth& health();
+    void noteAnswer(const AttemptState&, unsigned status);
     std::string handoverHead(const BackendServer&) const;
     bool isAnswerOwn(const AttemptState&, const AnswerFacts&) const;
     bool mayRetryFailure(unsigned status);
@@ -82,14 +88,6 @@
     std::chrono::milliseconds timeLeft() const;
     const Route& route() const { return *m_admitted.route; }
 
-    /** What was known when the request was sent, for the log. */
-    struct SendRecord {
-        std::string server;
-        int inFlight = 0;
-        std::chrono::milliseconds after { 0 }; ///< Since the request arrived.
-        std::chrono::milliseconds knowledgeAge { 0 }; ///< Since the store confirmed the list and the configuration.
-    };
-
     TrafficEngine& m_engine;
     AnswerSink& m_sink;
     HttpRequest m_request;
@@ -102,7 +100,7 @@
     ServerConnectionPtr m_connection; ///< That of the attempt under way.
     Signal m_placeSignal;
     std::vector<uint64_t> m_tried; ///< Hashes of the backend servers that had the request or could not be reached.
-    std::vector<SendRecord> m_records;
+    ExchangeRecord m_record;
     int m_sends = 0;
     bool m_hasRetryGrant = false; ///< A repeat has been taken from the budget and not been used yet.
     bool m_mayHaveRun = false;
--- a/modules/borageslip_traffic/engine/ExchangeGuards.h
+++ b/modules/borageslip_traffic/engine/ExchangeGuards.h
@@ -44,28 +44,4 @@
     int64_t m_tokens;
 };
 
-/** Keeps a request in the queue for as long as it lives. */
-class QueueEntry {
-public:
-    QueueEntry(RequestQueue& queue, const WaitingRequest& request)
-        : m_queue(queue)
-        , m_request(request)
-    {
-        m_queue.add(m_request);
-    }
-    ~QueueEntry()
-    {
-        m_queue.remove(m_request);
-        m_queue.wakeFirst();
-    }
-    QueueEntry(const QueueEntry&) = delete;
-    QueueEntry& operator=(const QueueEntry&) = delete;
-
-    bool isFirst() const { return m_queue.isFirst(m_request); }
-
-private:
-    RequestQueue& m_queue;
-    WaitingRequest m_request;
-};
-
 }
--- /dev/null
+++ b/modules/borageslip_traffic/engine/ExchangeRecord.cpp
@@ -0,0 +1,47 @@
+#include "ExchangeRecord.h"
+
+#include <nlohmann/json.hpp>
+
+namespace borageslip {
+
+namespace {
+
+    std::chrono::milliseconds toMilliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+    }
+
+}
+
+void ExchangeRecord::sent(const BackendServer& server, const TrafficEngine& engine)
+{
+    m_sends.push_back({ server.description().id, server.inFlight(), toMilliseconds(engine.clock().now() - m_arrivedAt), toMilliseconds(engine.knowledgeAge()) });
+}
+
+void ExchangeRecord::log(Severity severity, std::string_view event, std::string_view outcome, std::string_view detail, const TrafficEngine& engine, const AdmittedRequest& admitted) const
+{
+    auto sends = nlohmann::json::array();
+    for (const auto& send : m_sends)
+        sends.push_back({ { "server", send.server }, { "in_flight", send.inFlight }, { "after_ms", send.after.count() }, { "knowledge_age_ms", send.knowledgeAge.count() } });
+    nlohmann::json fields {
+        { "request", m_requestId },
+        { "outcome", outcome },
+        { "duration_ms", toMilliseconds(engine.clock().now() - m_arrivedAt).count() },
+        { "waited_ms", toMilliseconds(m_waited).count() },
+        { "knowledge_age_ms", toMilliseconds(engine.knowledgeAge()).count() },
+        { "sends", std::move(sends) },
+    };
+    if (!detail.empty())
+        fields["detail"] = detail;
+    if (admitted.route != nullptr) {
+        fields["route"] = admitted.route->name;
+        fields["service"] = admitted.service;
+        fields["account"] = admitted.account;
+        fields["configuration"] = admitted.configuration->version();
+    } else if (engine.configuration()) {
+        fields["configuration"] = engine.configuration()->version();
+    }
+    logEvent(severity, event, fields);
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/engine/ExchangeRecord.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "TrafficEngine.h"
+
+#include <borageslip_core/logging/Log.h>
+
+#include <string>
+#include <vector>
+
+namespace borageslip {
+
+/** What was known at each decision on one request, for the log line at its end.
+    @see Exchange, `borageslip explain` */
+class ExchangeRecord {
+public:
+    ExchangeRecord(std::string requestId, TimePoint arrivedAt)
+        : m_requestId(std::move(requestId))
+        , m_arrivedAt(arrivedAt)
+    {
+    }
+
+    /** Notes that the request waited for a place. */
+    void waited(Duration time) { m_waited += time; }
+
+    /** Notes a send, before it counts at the backend server. */
+    void sent(const BackendServer&, const TrafficEngine&);
+
+    void log(Severity, std::string_view event, std::string_view outcome, std::string_view detail, const TrafficEngine&, const AdmittedRequest&) const;
+
+private:
+    struct Send {
+        std::string server;
+        int inFlight = 0;
+        std::chrono::milliseconds after { 0 }; ///< Since the request arrived.
+        std::chrono::milliseconds knowledgeAge { 0 }; ///< Since the store confirmed the list and the configuration.
+    };
+
+    std::string m_requestId;
+    TimePoint m_arrivedAt;
+    Duration m_waited {};
+    std::vector<Send> m_sends;
+};
+
+}
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -1,10 +1,11 @@
 #include "TrafficEngine.h"
 
+#include "../limits/ReturnTime.h"
+
 #include <borageslip_core/identity/Hash.h>
 #include <borageslip_core/logging/Log.h>
 
 #include <algorithm>
-#include <limits>
 
 namespace borageslip {
 
@@ -53,22 +54,6 @@
 
 }
 
-double durationBucketBound(size_t bucket)
-{
-    static constexpr std::array<double, 8> bounds { 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4 };
-    return bucket < bounds.size() ? bounds[bucket] : std::numeric_limits<double>::infinity();
-}
-
-void TrafficCounts::recordDuration(Duration duration)
-{
-    const double seconds = std::chrono::duration<double>(duration).count();
-    size_t bucket = 0;
-    while (seconds > durationBucketBound(bucket))
-        ++bucket;
-    ++durationBuckets[bucket];
-    durationSum += duration;
-}
-
 TrafficEngine::TrafficEngine(const Clock& clock, const boost::asio::any_io_executor& executor, const CallerProtocol& protocol, TrafficSettings settings)
     : m_clock(clock)
     , m_executor(executor)
@@ -128,7 +113,10 @@
 {
     if (facts.promptParts.empty())
         return 0;
-    return server.notePrefix(affinityOf(facts)) ? facts.promptParts.back().tokens : facts.promptTokens;
+    const int64_t tokens = server.notePrefix(affinityOf(facts)) ? facts.promptParts.back().tokens : facts.promptTokens;
+    m_counts.promptTokens += facts.promptTokens;
+    m_counts.promptTokensCached += static_cast<uint64_t>(std::max<int64_t>(0, facts.promptTokens - tokens));
+    return tokens;
 }
 
 bool TrafficEngine::hasServers(std::string_view service) const
@@ -140,26 +128,32 @@
 BackendServerPtr TrafficEngine::choose(const AdmittedRequest& admitted, const RequestFacts& facts, std::span<const uint64_t> excluded)
 {
     const auto now = m_clock.now();
-    std::vector<ServerCandidate> candidates;
-    std::vector<BackendServerPtr> servers;
+    const auto requestHash = hashBytes(facts.requestId);
+    const auto& health = m_servers.health(admitted.service);
+    m_candidates.clear();
+    m_candidateServers.clear();
     for (const auto& server : m_servers.ofService(admitted.service)) {
         if (!server->isInService())
             continue;
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
-        candidates.push_back({ server->hash(), server->inFlight(), server->description().slots, server->pendingPrefill(), isExcluded,
-            server->isEjected(now), server->isCold(now), server->description().failureDomain == m_settings.failureDomain });
-        servers.push_back(server);
+        const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), requestHash, now);
+        m_candidates.push_back({ server->hash(), server->inFlight(), server->description().slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
+            server->description().failureDomain == m_settings.failureDomain });
+        m_candidateServers.push_back(server);
     }
     const auto affinity = admitted.route->reusesPrefixes ? affinityOf(facts) : 0;
-    const auto chosen = chooseServer(candidates, affinity, hashBytes(facts.requestId), m_settings.choice);
-    return chosen ? servers[*chosen] : nullptr;
+    const auto choice = chooseServer(m_candidates, affinity, requestHash, m_settings.choice);
+    if (!choice)
+        return nullptr;
+    ++m_counts.placements.at(static_cast<size_t>(choice->reason));
+    return m_candidateServers[choice->index];
 }
 
 size_t TrafficEngine::waitingCount() const
 {
     size_t count = 0;
-    for (const auto& [service, queue] : m_queues)
-        count += queue.size();
+    for (const auto& [service, room] : m_waitingRooms)
+        count += room.size();
     return count;
 }
 
@@ -178,20 +172,29 @@
         budget.setInstanceCount(instances);
 }
 
+Duration TrafficEngine::serviceTime(const std::string& service) const
+{
+    const auto found = m_serviceTimes.find(service);
+    return found == m_serviceTimes.end() ? Duration::zero() : found->second;
+}
+
+void TrafficEngine::recordServiceTime(const std::string& service, Duration duration)
+{
+    constexpr int smoothing = 16; // The average follows a change within some tens of requests.
+    const auto [found, isNew] = m_serviceTimes.try_emplace(service, duration);
+    if (!isNew)
+        found->second += (duration - found->second) / smoothing;
+}
+
 void TrafficEngine::placeFreed(const std::string& service)
 {
-    if (const auto found = m_queues.find(service); found != m_queues.end())
+    if (const auto found = m_waitingRooms.find(service); found != m_waitingRooms.end())
         found->second.wakeFirst();
 }
 
 std::chrono::milliseconds TrafficEngine::retryAfter(std::chrono::milliseconds timeLeft)
 {
-    constexpr std::chrono::milliseconds soonest { 150 };
-    constexpr std::chrono::milliseconds latest { 1500 };
-    // Callers honour a time of up to a third of what they have left.
-    const auto end = std::clamp(timeLeft / 3, std::chrono::milliseconds(0), latest);
-    std::uniform_int_distribution<int64_t> spread(std::min(soonest, end).count(), end.count());
-    return std::chrono::milliseconds(spread(m_random));
+    return spreadReturnTime(timeLeft, m_random);
 }
 
 }
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -3,7 +3,8 @@
 #include "../configuration/TrafficConfiguration.h"
 #include "../http/HttpMessages.h"
 #include "../limits/FleetRetryBudget.h"
-#include "../limits/RequestQueue.h"
+#include "../limits/WaitingRoom.h"
+#include "../metrics/TrafficCounts.h"
 #include "../placement/ServerChoice.h"
 #include "../protocol/CallerProtocol.h"
 #include "../servers/ServerTable.h"
@@ -37,23 +38,6 @@
     std::string service;
 };
 
-/** Counts of what the traffic path did, for metrics. */
-struct TrafficCounts {
-    uint64_t requests = 0;
-    uint64_t answered = 0;
-    uint64_t refused = 0;
-    uint64_t failed = 0;
-    uint64_t callersGone = 0;
-    uint64_t retries = 0;
-    std::array<uint64_t, 9> durationBuckets {}; ///< Requests by duration, see durationBucketBound().
-    Duration durationSum {};
-
-    void recordDuration(Duration);
-};
-
-/** Upper bound of a bucket of durations in seconds; the last one has none. */
-double durationBucketBound(size_t bucket);
-
 /** What all requests of this instance share: the configuration in force, the backend servers, the queues and the retry
     budgets. Decides who may be served where; Exchange carries each request out.
 
@@ -85,18 +69,23 @@
         Errors: Draining, NoConfiguration, NotFound, StoreUnavailable, Unauthenticated. */
     Result<AdmittedRequest> admit(const HttpRequest&, const RequestFacts&) const;
 
-    /** Chooses a backend server that has a place. @param excluded hashes of those that had the request before. */
+    /** Chooses a backend server that has a place, and counts why. @param excluded hashes of those that had the request
+        before. */
     BackendServerPtr choose(const AdmittedRequest&, const RequestFacts&, std::span<const uint64_t> excluded);
 
-    /** Prompt tokens that the server has to read for the request, as far as known. */
-    static int64_t uncachedTokens(BackendServer&, const RequestFacts&);
+    /** Prompt tokens that the server has to read for the request, as far as known. To be called once for each send. */
+    int64_t uncachedTokens(BackendServer&, const RequestFacts&);
 
     bool hasServers(std::string_view service) const;
-    RequestQueue& queue(const std::string& service) { return m_queues[service]; }
+    WaitingRoom& waitingRoom(const std::string& service) { return m_waitingRooms[service]; }
     size_t waitingCount() const;
     FleetRetryBudget& retryBudget(const std::string& service);
     void setInstanceCount(size_t);
 
+    /** Usual time that a backend server of the service takes for a request; zero when not known. */
+    Duration serviceTime(const std::string& service) const;
+    void recordServiceTime(const std::string& service, Duration);
+
     /** To be called when a request at a backend server has ended. */
     void placeFreed(const std::string& service);
 
@@ -124,7 +113,10 @@
     TimePoint m_confirmedAt {};
     bool m_refusesNewRequests = false;
     ServerTable m_servers;
-    std::map<std::string, RequestQueue, std::less<>> m_queues;
+    std::map<std::string, WaitingRoom, std::less<>> m_waitingRooms;
+    std::map<std::string, Duration, std::less<>> m_serviceTimes;
+    std::vector<ServerCandidate> m_candidates; ///< Of the choice under way; kept for its memory.
+    std::vector<BackendServerPtr> m_candidateServers;
     std::map<std::string, FleetRetryBudget, std::less<>> m_retryBudgets;
     size_t m_instances = 1;
     TrafficCounts m_counts;
--- a/modules/borageslip_traffic/limits/RequestQueue.h
+++ b/modules/borageslip_traffic/limits/RequestQueue.h
@@ -1,48 +1,65 @@
 #pragma once
 
-#include "../net/Signal.h"
+#include <borageslip_routing/limits/FairQueue.h>
 
-#include <borageslip_core/time/Clock.h>
-
-#include <cstdint>
-#include <set>
-#include <tuple>
+#include <map>
 
 namespace borageslip {
 
-/** A request that waits for a place at a backend server. */
-struct WaitingRequest {
-    int accountPriority = 0;
-    int routePriority = 0;
-    TimePoint deadline {};
-    uint64_t order = 0; ///< Of arrival, unique.
-    Signal* signal = nullptr;
+/** Rank of a request among those that wait: the client account's priority goes before the route's; 0 is the most urgent. */
+struct Urgency {
+    int account = 0;
+    int route = 0;
 
-    auto rank() const { return std::tuple(accountPriority, routePriority, deadline, order); }
+    auto operator<=>(const Urgency&) const = default;
 };
 
-/** The requests that wait for places of one service, most urgent first: by the client account's priority, the route's
-    priority, then the time left. Not thread-safe. */
+/** The requests that wait for places of one service: by urgency, then fair among client accounts, then by the time left.
+
+    It answers a surge of one account: its own requests wait longer or are displaced, those of the others are served as
+    if it had not come. Pure and not thread-safe. */
 class RequestQueue {
 public:
-    void add(const WaitingRequest& request) { m_requests.insert(request); }
-    void remove(const WaitingRequest& request) { m_requests.erase(request); }
-    bool isFirst(const WaitingRequest& request) const { return !m_requests.empty() && m_requests.begin()->order == request.order; }
-    bool isEmpty() const { return m_requests.empty(); }
-    size_t size() const { return m_requests.size(); }
-
-    /** Lets the first request look for a place. */
-    void wakeFirst() const
+    explicit RequestQueue(size_t maxRequests)
+        : m_maxRequests(maxRequests)
     {
-        if (!m_requests.empty())
-            m_requests.begin()->signal->notify();
     }
 
+    /** Adds a request whose id no other one in the queue has. When the queue is full, a less urgent request makes room,
+        or the last one of the account with the longest backlog of the same urgency. */
+    FairQueue::PushResult push(Urgency, QueuedRequest);
+
+    /** The request whose turn it is, or null. */
+    const QueuedRequest* front();
+
+    /** Removes the request whose turn it is and charges its account. */
+    void pop();
+
+    /** Removes a request without charging its account. */
+    void remove(const RequestId&);
+
+    /** Removes and returns the requests for which the predicate holds. */
+    std::vector<QueuedRequest> removeIf(const FairQueue::Predicate&);
+
+    bool isEmpty() const { return m_size == 0; }
+    size_t size() const { return m_size; }
+
 private:
-    struct ByRank {
-        bool operator()(const WaitingRequest& first, const WaitingRequest& second) const { return first.rank() < second.rank(); }
-    };
-    std::set<WaitingRequest, ByRank> m_requests;
+    std::optional<QueuedRequest> makeRoom(Urgency, const AccountId&);
+    FairQueue& queueOf(Urgency);
+    void forgetEmptyQueues();
+
+    size_t m_maxRequests;
+    size_t m_size = 0;
+    std::map<Urgency, FairQueue> m_queues; ///< Without empty ones.
 };
 
+/** Share of an engine that a request takes, in units of a short request. */
+double requestCost(int64_t promptTokens, int64_t outputTokens);
+
+/** When a request that waits for a place is told to come back. A caller that waits beyond half of its latency objective
+    is served too late, and so is one whose time does not suffice for the usual service.
+    @param serviceTime usual time from the send to the end of the answer; zero when not known. */
+TimePoint latestStart(TimePoint arrivedAt, TimePoint deadline, Duration latencyObjective, Duration serviceTime);
+
 }
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -4,7 +4,9 @@
 #include <borageslip_core/logging/Log.h>
 
 #include <array>
+#include <fstream>
 #include <prometheus/text_serializer.h>
+#include <unistd.h>
 
 namespace borageslip {
 
@@ -26,8 +28,6 @@
         OutcomeRow { "caller-left", &TrafficCounts::callersGone },
     };
 
-    constexpr size_t bucketCount = std::tuple_size_v<decltype(TrafficCounts::durationBuckets)>;
-
     MetricFamily familyOf(const char* name, const char* help, MetricType type)
     {
         return { name, help, type, {} };
@@ -63,35 +63,60 @@
         return family;
     }
 
-    MetricFamily durations(const TrafficCounts& counts)
+    MetricFamily histogram(const char* name, const char* help, const DurationHistogram& durations)
     {
-        auto family = familyOf("borageslip_entry_request_seconds", "Time from a request's first byte to its end", MetricType::Histogram);
+        auto family = familyOf(name, help, MetricType::Histogram);
         ClientMetric metric;
         uint64_t cumulative = 0;
-        for (size_t i = 0; i < bucketCount; ++i) {
-            cumulative += counts.durationBuckets[i];
-            metric.histogram.bucket.push_back({ cumulative, durationBucketBound(i) });
+        for (size_t i = 0; i < DurationHistogram::bucketCount; ++i) {
+            cumulative += durations.count(i);
+            metric.histogram.bucket.push_back({ cumulative, DurationHistogram::upperBound(i) });
         }
         metric.histogram.sample_count = cumulative;
-        metric.histogram.sample_sum = std::chrono::duration<double>(counts.durationSum).count();
+        metric.histogram.sample_sum = std::chrono::duration<double>(durations.sum()).count();
         family.metric.push_back(std::move(metric));
         return family;
     }
 
+    MetricFamily placements(const TrafficCounts& counts)
+    {
+        auto family = familyOf("borageslip_entry_placements_total", "Choices of a backend server, by reason", MetricType::Counter);
+        for (size_t i = 0; i < choiceReasonCount; ++i) {
+            ClientMetric metric;
+            metric.label.push_back({ "reason", choiceReasonName(static_cast<ChoiceReason>(i)) });
+            metric.counter.value = static_cast<double>(counts.placements.at(i));
+            family.metric.push_back(std::move(metric));
+        }
+        return family;
+    }
+
+    /** Resident memory of this process; 0 when the kernel does not tell. */
+    double residentBytes()
+    {
+        std::ifstream file("/proc/self/statm");
+        uint64_t total = 0;
+        uint64_t resident = 0;
+        file >> total >> resident;
+        return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
+    }
+
     MetricFamily servers(TrafficEngine& engine)
     {
         int ready = 0;
         int draining = 0;
         int ejected = 0;
+        int lowered = 0;
         const auto now = engine.clock().now();
         for (const auto& [id, server] : engine.servers().all()) {
             if (!server->isInService())
                 ++draining;
+            else if (server->isEjected(now))
+                ++ejected;
             else
-                ++(server->isEjected(now) ? ejected : ready);
+                ++(engine.servers().health(server->description().service).isLowered(server->hash()) ? lowered : ready);
         }
         auto family = familyOf("borageslip_entry_servers", "Backend servers, by state", MetricType::Gauge);
-        for (const auto& [state, count] : { std::pair("ready", ready), std::pair("draining", draining), std::pair("ejected", ejected) }) {
+        for (const auto& [state, count] : { std::pair("ready", ready), std::pair("draining", draining), std::pair("ejected", ejected), std::pair("lowered", lowered) }) {
             ClientMetric metric;
             metric.label.push_back({ "state", state });
             metric.gauge.value = count;
@@ -109,20 +134,35 @@
 }
 
 std::vector<MetricFamily> TrafficMetrics::collect() const
+{
+    auto families = ownFamilies();
+    for (const auto& source : m_sources)
+        families.push_back(source());
+    return families;
+}
+
+std::vector<MetricFamily> TrafficMetrics::ownFamilies() const
 {
     const auto& counts = m_engine.counts();
     const auto version = m_engine.configuration() ? m_engine.configuration()->version() : 0;
     return {
         counter("borageslip_entry_requests_total", "Requests of callers", counts.requests),
         outcomes(counts),
-        durations(counts),
+        histogram("borageslip_entry_request_seconds", "Time from a request's first byte to its end", counts.durations),
+        histogram("borageslip_entry_wait_seconds", "Time that requests waited for a place, of those that had to wait", counts.waits),
+        placements(counts),
+        counter("borageslip_entry_prompt_tokens_total", "Prompt tokens of requests sent to backend servers", counts.promptTokens),
+        counter("borageslip_entry_prompt_tokens_cached_total", "Prompt tokens expected to be cached where they were sent", counts.promptTokensCached),
         counter("borageslip_entry_retries_total", "Sends after a failed one, within the shared budget", counts.retries),
+        counter("borageslip_entry_retries_denied_total", "Repeats that the shared budget did not allow", counts.retriesDenied),
         servers(m_engine),
         gauge("borageslip_entry_waiting", "Requests that wait for a place at a backend server", static_cast<double>(m_engine.waitingCount())),
         gauge("borageslip_entry_configuration_version", "Version of the configuration in force; 0 for none", static_cast<double>(version)),
         gauge("borageslip_entry_knowledge_age_seconds", "Time since the store last confirmed what is known", std::chrono::duration<double>(m_engine.knowledgeAge()).count()),
-        gauge("borageslip_entry_members", "Other instances that the store lists", static_cast<double>(m_peers.members().size())),
+        gauge("borageslip_entry_members", "Other instances that the store lists", static_cast<double>(m_peers.memberCount())),
         gauge("borageslip_entry_members_heard", "Other instances whose reports arrive", static_cast<double>(m_peers.heardCount())),
+        gauge("borageslip_entry_peer_report_age_seconds", "Age of the oldest report that counts", std::chrono::duration<double>(m_peers.oldestReportAge()).count()),
+        gauge("borageslip_entry_resident_bytes", "Memory of the process", residentBytes()),
         gauge("borageslip_entry_loop_lag_seconds", "How late the event loop served its last timer", std::chrono::duration<double>(m_loopLag).count()),
         counter("borageslip_entry_log_lines_dropped_total", "Log lines that a full pipe did not take", droppedLogLines()),
         counter("borageslip_entry_invariant_violations_total", "Violations of the program's own invariants", invariantViolations()),
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.h
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.h
@@ -3,6 +3,7 @@
 #include "../engine/TrafficEngine.h"
 #include "../peers/PeerLink.h"
 
+#include <functional>
 #include <prometheus/metric_family.h>
 #include <string>
 #include <vector>
@@ -19,15 +20,22 @@
     /** Records how late the event loop served a timer. */
     void recordLoopLag(Duration lag) { m_loopLag = lag; }
 
+    /** Adds a family of metrics of a part that the traffic path does not know, read at each collection. */
+    using Source = std::function<prometheus::MetricFamily()>;
+    void addSource(Source source) { m_sources.push_back(std::move(source)); }
+
     std::vector<prometheus::MetricFamily> collect() const;
 
     /** Returns all metrics in the Prometheus text format. */
     std::string text() const;
 
 private:
+    std::vector<prometheus::MetricFamily> ownFamilies() const;
+
     TrafficEngine& m_engine;
     const PeerLink& m_peers;
     Duration m_loopLag {};
+    std::vector<Source> m_sources;
 };
 
 }
--- a/modules/borageslip_traffic/net/ConnectionPool.h
+++ b/modules/borageslip_traffic/net/ConnectionPool.h
@@ -33,7 +33,6 @@
     void closeStale();
     void closeAll() { m_idle.clear(); }
 
-    size_t idleCount() const { return m_idle.size(); }
     const boost::asio::ip::tcp::endpoint& endpoint() const { return m_endpoint; }
     const boost::asio::any_io_executor& executor() const { return m_executor; }
 
--- a/modules/borageslip_traffic/peers/Member.h
+++ b/modules/borageslip_traffic/peers/Member.h
@@ -12,6 +12,7 @@
     std::string failureDomain;
     boost::asio::ip::tcp::endpoint callerAddress;
     boost::asio::ip::udp::endpoint peerAddress;
+    boost::asio::ip::tcp::endpoint metricsAddress {}; ///< Unspecified when the instance has not registered it.
 
     bool operator==(const Member&) const = default;
 };
--- a/modules/borageslip_traffic/peers/PeerBoard.cpp
+++ b/modules/borageslip_traffic/peers/PeerBoard.cpp
@@ -51,4 +51,14 @@
     return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) { return now - entry.second.heardAt <= m_lifetime; }));
 }
 
+Duration PeerBoard::oldestAge(TimePoint now) const
+{
+    Duration oldest {};
+    for (const auto& [sender, entry] : m_entries) {
+        if (const auto age = now - entry.heardAt; age <= m_lifetime)
+            oldest = std::max(oldest, age);
+    }
+    return oldest;
+}
+
 }
--- a/modules/borageslip_traffic/peers/PeerBoard.h
+++ b/modules/borageslip_traffic/peers/PeerBoard.h
@@ -33,6 +33,9 @@
     bool takesCallers(std::string_view instance) const;
 
     size_t heardCount(TimePoint now) const;
+
+    /** Age of the oldest report that counts; zero when none does. */
+    Duration oldestAge(TimePoint now) const;
     void setLifetime(Duration lifetime) { m_lifetime = lifetime; }
 
 private:
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -62,11 +62,11 @@
     if (member.name == m_ownName)
         return;
     const auto found = m_members.find(member.name);
-    if (found != m_members.end() && found->second == member)
+    if (found != m_members.end() && found->second.member == member)
         return;
     logEvent(Severity::Info, "member-listed", { { "member", member.name } });
-    m_listedAt[member.name] = m_engine.clock().now();
-    m_members[member.name] = std::move(member);
+    const auto name = member.name;
+    m_members[name] = { std::move(member), m_engine.clock().now() };
     m_board.setLifetime(std::max(shortestLifetime, interval() * lostReportsBeforeSilent));
     m_engine.setInstanceCount(m_members.size() + 1);
 }
@@ -77,7 +77,6 @@
     if (found == m_members.end())
         return;
     logEvent(Severity::Info, "member-removed", { { "member", name } });
-    m_listedAt.erase(found->first);
     m_members.erase(found);
     m_engine.setInstanceCount(m_members.size() + 1);
 }
@@ -97,11 +96,11 @@
     const auto now = m_engine.clock().now();
     const bool isAlone = m_board.heardCount(now) == 0;
     std::vector<asio::ip::tcp::endpoint> addresses;
-    for (const auto& [name, member] : m_members) {
-        const bool isNew = now - m_listedAt.at(name) < shortestLifetime;
+    for (const auto& [name, listed] : m_members) {
+        const bool isNew = now - listed.listedAt < shortestLifetime;
         const bool isUsable = m_board.isHeard(name, now) ? m_board.takesCallers(name) : (isAlone || isNew);
         if (isUsable)
-            addresses.push_back(member.callerAddress);
+            addresses.push_back(listed.member.callerAddress);
     }
     return addresses;
 }
@@ -145,10 +144,10 @@
             report.uses.push_back({ server->hash(), static_cast<uint32_t>(server->ownInFlight()), static_cast<uint64_t>(server->ownPendingPrefill()) });
     }
     const auto bytes = encodePeerReport(report);
-    for (const auto& [name, member] : m_members) {
+    for (const auto& [name, listed] : m_members) {
         // A datagram that cannot be sent is like a lost one: the next report replaces it.
         boost::system::error_code ignored;
-        m_socket.send_to(asio::buffer(bytes), member.peerAddress, 0, ignored);
+        m_socket.send_to(asio::buffer(bytes), listed.member.peerAddress, 0, ignored);
     }
 }
 
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -34,9 +34,15 @@
     std::vector<boost::asio::ip::tcp::endpoint> callerAddresses() const;
 
     size_t heardCount() const { return m_board.heardCount(m_engine.clock().now()); }
-    const std::map<std::string, Member, std::less<>>& members() const { return m_members; }
+    Duration oldestReportAge() const { return m_board.oldestAge(m_engine.clock().now()); }
+    size_t memberCount() const { return m_members.size(); }
 
 private:
+    struct ListedMember {
+        Member member;
+        TimePoint listedAt {};
+    };
+
     boost::asio::awaitable<void> receiveAll();
     boost::asio::awaitable<void> reportPeriodically();
     void sendReports();
@@ -51,8 +57,7 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     PeerBoard m_board;
-    std::map<std::string, Member, std::less<>> m_members;
-    std::map<std::string, TimePoint, std::less<>> m_listedAt;
+    std::map<std::string, ListedMember, std::less<>> m_members;
 };
 
 }
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -1,7 +1,8 @@
 #include "PeerReport.h"
 
+#include <borageslip_core/encoding/Cbor.h>
+
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace borageslip {
 
@@ -10,17 +11,6 @@
     // Distinguishes this format from a later one.
     constexpr int formatVersion = 1;
 
-    /** Returns a discarded value for bytes that are no CBOR. */
-    nlohmann::json parseCbor(std::span<const uint8_t> bytes)
-    {
-        try {
-            return nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
-        } catch (const nlohmann::json::exception&) {
-            // An announced size over the address space is thrown even where exceptions are switched off.
-            return nlohmann::json::value_t::discarded;
-        }
-    }
-
 }
 
 std::vector<uint8_t> encodePeerReport(const PeerReport& report)
--- a/modules/borageslip_traffic/placement/ServerChoice.cpp
+++ b/modules/borageslip_traffic/placement/ServerChoice.cpp
@@ -3,6 +3,7 @@
 #include <borageslip_core/identity/Hash.h>
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 #include <vector>
 
@@ -51,7 +52,13 @@
 
 }
 
-std::optional<size_t> chooseServer(std::span<const ServerCandidate> candidates, uint64_t affinity, uint64_t tieBreak, const ServerChoiceLimits& limits)
+const char* choiceReasonName(ChoiceReason reason)
+{
+    static constexpr std::array<const char*, choiceReasonCount> names { "affinity", "spill", "least-loaded" };
+    return names.at(static_cast<size_t>(reason));
+}
+
+std::optional<ServerChoice> chooseServer(std::span<const ServerCandidate> candidates, uint64_t affinity, uint64_t tieBreak, const ServerChoiceLimits& limits)
 {
     if (candidates.empty())
         return std::nullopt;
@@ -60,7 +67,7 @@
     if (places.empty())
         return std::nullopt;
     if (affinity == 0)
-        return leastLoaded(candidates, places, tieBreak);
+        return ServerChoice { leastLoaded(candidates, places, tieBreak), ChoiceReason::LeastLoaded };
 
     std::sort(places.begin(), places.end(), [&](size_t first, size_t second) {
         return rendezvousScore(affinity, candidates[first].hash) > rendezvousScore(affinity, candidates[second].hash);
@@ -69,9 +76,9 @@
     for (const auto i : places) {
         const auto& candidate = candidates[i];
         if (!candidate.isCold && candidate.inFlight < bound && candidate.pendingPrefill < limits.pendingPrefill)
-            return i;
+            return ServerChoice { i, i == places.front() ? ChoiceReason::Affinity : ChoiceReason::Spill };
     }
-    return leastLoaded(candidates, places, tieBreak);
+    return ServerChoice { leastLoaded(candidates, places, tieBreak), ChoiceReason::LeastLoaded };
 }
 
 }
--- a/modules/borageslip_traffic/placement/ServerChoice.h
+++ b/modules/borageslip_traffic/placement/ServerChoice.h
@@ -26,6 +26,22 @@
     int64_t pendingPrefill = 24000; ///< Tokens; a longer backlog would delay the first token by more than half a second.
 };
 
+/** Why a backend server was chosen. */
+enum class ChoiceReason {
+    Affinity, ///< The first one in the order of the prompt's beginning.
+    Spill, ///< A further one in that order, because those before it are full.
+    LeastLoaded,
+};
+constexpr size_t choiceReasonCount = 3;
+
+/** Name of the reason in metrics. */
+const char* choiceReasonName(ChoiceReason);
+
+struct ServerChoice {
+    size_t index = 0; ///< Of the candidate.
+    ChoiceReason reason = ChoiceReason::LeastLoaded;
+};
+
 /** Chooses a backend server for a request. Pure: the same input gives the same choice at every instance.
 
     With an affinity (a hash of the shared parts of the prompt) the candidates are tried in rendezvous order, so that
@@ -34,7 +50,7 @@
     equal.
     @param affinity 0 for none.
     @param tieBreak spreads choices among equals.
-    @return an index, or nothing when no candidate has a place. */
-std::optional<size_t> chooseServer(std::span<const ServerCandidate>, uint64_t affinity, uint64_t tieBreak, const ServerChoiceLimits& = {});
+    @return nothing when no candidate has a place. */
+std::optional<ServerChoice> chooseServer(std::span<const ServerCandidate>, uint64_t affinity, uint64_t tieBreak, const ServerChoiceLimits& = {});
 
 }
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -2,6 +2,8 @@
 
 #include <borageslip_core/logging/Log.h>
 
+#include <algorithm>
+
 namespace borageslip {
 
 namespace {
@@ -39,6 +41,7 @@
     logEvent(Severity::Info, "server-added", { { "server", description.id }, { "service", description.service }, { "draining", description.isDraining } });
     auto server = std::make_shared<BackendServer>(std::move(description), m_clock, m_executor);
     m_servers.emplace(server->description().id, server);
+    m_health[server->description().service].add(server->hash());
     m_ofService[server->description().service].push_back(std::move(server));
 }
 
@@ -51,6 +54,7 @@
     logEvent(Severity::Info, "server-removed", { { "server", id } });
     m_lapsedUntil.erase(std::string(id));
     server->remove();
+    m_health[server->description().service].remove(server->hash());
     std::erase(m_ofService[server->description().service], server);
     m_servers.erase(found);
 }
@@ -79,8 +83,22 @@
     return found == m_ofService.end() ? std::span<const BackendServerPtr>() : std::span<const BackendServerPtr>(found->second);
 }
 
-void ServerTable::closeStaleConnections()
+void ServerTable::evaluateHealth()
+{
+    for (auto& [service, health] : m_health) {
+        for (const auto& change : health.evaluate(m_clock.now())) {
+            const auto& servers = m_ofService[service];
+            const auto found = std::find_if(servers.begin(), servers.end(), [&](const auto& server) { return server->hash() == change.engine; });
+            if (found != servers.end())
+                logEvent(Severity::Warning, "server-share", { { "server", (*found)->description().id }, { "service", service }, { "share", change.weight } });
+        }
+    }
+}
+
+void ServerTable::maintain()
 {
+    removeLapsed();
+    evaluateHealth();
     for (const auto& [id, server] : m_servers)
         server->pool().closeStale();
 }
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "BackendServer.h"
+#include "ServerHealth.h"
 
 #include <map>
 #include <span>
@@ -24,21 +25,26 @@
         within the grace: entries that expired during an outage return if the backend server lives. */
     void removeAfterGrace(std::string_view id);
 
-    /** Carries out the removals whose grace is over. To be called periodically. */
-    void removeLapsed();
+    /** Carries out the removals whose grace is over, judges the health of the servers and closes connections that have
+        been idle for long. To be called about once a second. */
+    void maintain();
 
     std::span<const BackendServerPtr> ofService(std::string_view service) const;
     const std::map<std::string, BackendServerPtr, std::less<>>& all() const { return m_servers; }
 
-    void closeStaleConnections();
+    /** Health of the servers of one service, by their hashes. */
+    ServerHealth& health(const std::string& service) { return m_health[service]; }
 
 private:
     void add(ServerDescription);
+    void removeLapsed();
+    void evaluateHealth();
 
     const Clock& m_clock;
     boost::asio::any_io_executor m_executor;
     std::map<std::string, BackendServerPtr, std::less<>> m_servers;
     std::map<std::string, std::vector<BackendServerPtr>, std::less<>> m_ofService;
+    std::map<std::string, ServerHealth, std::less<>> m_health;
     std::map<std::string, TimePoint, std::less<>> m_lapsedUntil; ///< Backend servers whose entries are missing.
 };
 
--- /dev/null
+++ b/tests/borageslip_traffic/ServerHealthTests.cpp
@@ -0,0 +1,107 @@
+#include <borageslip_traffic/servers/ServerHealth.h>
+
+#include <borageslip_core/identity/Hash.h>
+
+#include <catch2/catch.hpp>
+
+using namespace borageslip;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Sends requests to the servers one after the other, as far as they are not avoided. */
+class Traffic {
+public:
+    explicit Traffic(size_t servers)
+    {
+        for (size_t i = 0; i < servers; ++i)
+            health.add(i + 1);
+    }
+
+    /** @param failing each second request to this server fails.
+        @param slow this server takes ten times as long. */
+    void run(int seconds, uint64_t failing, uint64_t slow)
+    {
+        for (int tick = 0; tick < seconds * 10; ++tick) {
+            for (uint64_t server = 1; server <= 4; ++server)
+                send(server, server == failing && tick % 2 == 0, server == slow ? 500ms : 50ms);
+            now += 100ms;
+            health.evaluate(now);
+        }
+    }
+
+    double share(uint64_t server) const
+    {
+        int taken = 0;
+        for (uint64_t request = 0; request < 1000; ++request)
+            taken += health.isAvoided(server, hashBytes(std::to_string(request)), now) ? 0 : 1;
+        return taken / 1000.0;
+    }
+
+    ServerHealth health;
+    TimePoint now = TimePoint() + 1h;
+
+private:
+    void send(uint64_t server, bool fails, Duration time)
+    {
+        if (health.isAvoided(server, hashBytes(std::to_string(++m_request)), now))
+            return;
+        health.recordSend(server, now);
+        if (fails)
+            health.recordFailure(server, now, now);
+        else
+            health.recordAnswer(server, time, now, now);
+    }
+
+    uint64_t m_request = 0;
+};
+
+}
+
+TEST_CASE("a server that fails half of its requests loses them within seconds, though its health checks may be good")
+{
+    Traffic traffic(4);
+    traffic.run(6, 2, 0);
+    traffic.health.recordSend(2, traffic.now); // A probe is under way.
+    CHECK(traffic.share(2) == 0);
+    CHECK(traffic.share(1) == 1);
+    CHECK(traffic.share(3) == 1);
+}
+
+TEST_CASE("a server that fails no more gets its share back")
+{
+    Traffic traffic(4);
+    traffic.run(6, 2, 0);
+    traffic.run(30, 0, 0);
+    CHECK(traffic.share(2) == 1);
+}
+
+TEST_CASE("a slow server loses its share by degrees and gets it back")
+{
+    Traffic traffic(4);
+    traffic.run(8, 0, 3);
+    CHECK(traffic.share(3) < 0.6);
+    CHECK(traffic.share(1) == 1);
+    traffic.run(40, 0, 0);
+    CHECK(traffic.share(3) == 1);
+}
+
+TEST_CASE("of two servers one may be lowered, and it comes back without others to compare with")
+{
+    Traffic traffic(2);
+    traffic.run(6, 2, 0);
+    CHECK(traffic.share(1) == 1);
+    CHECK(traffic.share(2) < 1);
+    traffic.run(30, 0, 0);
+    CHECK(traffic.share(2) == 1);
+}
+
+TEST_CASE("a rare failure lowers nobody")
+{
+    Traffic traffic(4);
+    for (int i = 0; i < 20; ++i) {
+        traffic.health.recordFailure(1, traffic.now, traffic.now);
+        traffic.run(1, 0, 0);
+    }
+    CHECK(traffic.share(1) == 1);
+}
