Add platform-status and platform-check to the operators' client

platform-status reads the users' store once and asks each listed instance for its metrics: the version in force, the age of its keys, backend servers by state, entries that cannot be used. platform-check checks the deploy file, a settings file or a configuration before the platform sees it. Tests: DeployFileTests, entry_test.

--- a/apps/borageslip/Main.cpp
+++ b/apps/borageslip/Main.cpp
@@ -1,3 +1,4 @@
+#include "PlatformCommand.h"
 #include "ReportCommand.h"
 
 #include <borageslip_configuration/borageslip_configuration.h>
@@ -6,6 +7,7 @@
 #include <CLI/CLI.hpp>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <thread>
 #include <unistd.h>
 
@@ -37,6 +39,7 @@
     bool isJson = false;
     bool isCheckingSettings = false;
     std::string file;
+    std::string fileKind;
     std::string output;
     std::string identity;
     std::string operatorName;
@@ -317,6 +320,30 @@
     return isOk(printed) ? Success : fail(error(printed));
 }
 
+int runPlatformStatus(const Options& options)
+{
+    if (options.store.empty())
+        return fail({ ErrorKind::InvalidSettings, "the store's address is missing: give --store" });
+    const auto status = platformStatus(options.store);
+    if (!isOk(status))
+        return fail(error(status));
+    print(options, value(status).json, value(status).text);
+    return value(status).isInForceEverywhere ? Success : NotInForce;
+}
+
+int runPlatformCheck(const Options& options)
+{
+    static const std::map<std::string, PlatformFile> s_kinds { { "deploy", PlatformFile::DeployFile }, { "settings", PlatformFile::Settings }, { "configuration", PlatformFile::Configuration } };
+    const auto problems = checkPlatformFile(s_kinds.at(options.fileKind), options.file);
+    if (!isOk(problems))
+        return fail(error(problems));
+    std::string text;
+    for (const auto& problem : value(problems))
+        text += (text.empty() ? "" : "\n") + options.file + ": " + problem;
+    print(options, { { "file", options.file }, { "problems", value(problems) } }, text.empty() ? options.file + ": ok" : text);
+    return value(problems).empty() ? Success : Refused;
+}
+
 int printCompletion(const CLI::App& app)
 {
     std::string words;
@@ -388,6 +415,10 @@
     explain->add_option("request", options.request, "Request id")->required();
     explain->add_option("--logs", options.logFiles, "Log files of all instances; the routers are not asked");
     add("report", "Show the objectives, the error budget left and what burned it", runReport)->add_option("--html", options.htmlFile, "Also write the report as an HTML page to this file");
+    add("platform-status", "Show which instances on the users' platform have the stored configuration in force", runPlatformStatus);
+    auto* check = add("platform-check", "Check a file before the users' platform sees it", runPlatformCheck);
+    check->add_option("kind", options.fileKind, "deploy, settings or configuration")->required()->check(CLI::IsMember({ "deploy", "settings", "configuration" }));
+    check->add_option("file", options.file, "File to check")->required();
     auto* completion = app.add_subcommand("completion", "Print a shell completion script");
     completion->add_option("shell", options.shell, "bash")->required()->check(CLI::IsMember({ "bash" }));
 
--- /dev/null
+++ b/apps/borageslip/PlatformCommand.cpp
@@ -0,0 +1,150 @@
+#include "PlatformCommand.h"
+
+#include <platform/PlatformSettings.h>
+#include <platform/operators/DeployFile.h>
+#include <platform/operators/StoreOverview.h>
+
+#include <httplib.h>
+#include <sstream>
+
+namespace borageslip {
+
+namespace {
+
+    constexpr std::chrono::seconds instanceTimeout { 2 };
+
+    /** What one instance says of itself. */
+    struct InstanceState {
+        std::string name;
+        std::string failureDomain;
+        std::optional<uint64_t> version {};
+        double knowledgeAge = 0; ///< In seconds.
+        std::string failure;
+    };
+
+    /** Value of a metric without labels in the Prometheus text format. */
+    std::optional<double> metricOf(const std::string& text, const std::string& name)
+    {
+        std::istringstream lines(text);
+        for (std::string line; std::getline(lines, line);) {
+            if (line.starts_with(name + " "))
+                return std::strtod(line.c_str() + name.size(), nullptr);
+        }
+        return std::nullopt;
+    }
+
+    InstanceState ask(const Member& member)
+    {
+        InstanceState state { member.name, member.failureDomain, {}, 0, {} };
+        if (member.metricsAddress.port() == 0) {
+            state.failure = "has registered no address for its metrics";
+            return state;
+        }
+        httplib::Client client(member.metricsAddress.address().to_string(), member.metricsAddress.port());
+        client.set_connection_timeout(instanceTimeout);
+        client.set_read_timeout(instanceTimeout);
+        const auto answer = client.Get("/metrics");
+        if (!answer || answer->status != 200) {
+            state.failure = answer ? "status " + std::to_string(answer->status) : httplib::to_string(answer.error());
+            return state;
+        }
+        if (const auto version = metricOf(answer->body, "borageslip_entry_configuration_version"))
+            state.version = static_cast<uint64_t>(*version);
+        state.knowledgeAge = metricOf(answer->body, "borageslip_entry_knowledge_age_seconds").value_or(0);
+        return state;
+    }
+
+    nlohmann::json toJson(const InstanceState& state)
+    {
+        nlohmann::json json { { "name", state.name }, { "failure_domain", state.failureDomain }, { "knowledge_age_s", state.knowledgeAge } };
+        json["version"] = state.version ? nlohmann::json(*state.version) : nlohmann::json();
+        if (!state.failure.empty())
+            json["failure"] = state.failure;
+        return json;
+    }
+
+    void describeServers(const platform::StoreOverview& overview, PlatformStatus& status, std::ostream& text)
+    {
+        struct Counts {
+            int ready = 0;
+            int draining = 0;
+        };
+        std::map<std::string, Counts> services;
+        for (const auto& server : overview.servers)
+            ++(server.isDraining ? services[server.service].draining : services[server.service].ready);
+        status.json["services"] = nlohmann::json::object();
+        for (const auto& [name, counts] : services) {
+            status.json["services"][name] = { { "ready", counts.ready }, { "draining", counts.draining } };
+            text << "service " << name << ": " << counts.ready << " ready, " << counts.draining << " draining\n";
+        }
+    }
+
+    void describeInstances(const platform::StoreOverview& overview, PlatformStatus& status, std::ostream& text)
+    {
+        const auto* stored = overview.configuration ? &*overview.configuration : nullptr;
+        status.isInForceEverywhere = stored != nullptr;
+        status.json["instances"] = nlohmann::json::array();
+        for (const auto& member : overview.members) {
+            const auto state = ask(member);
+            status.json["instances"].push_back(toJson(state));
+            const bool isInForce = stored != nullptr && state.version.value_or(0) == stored->version();
+            status.isInForceEverywhere &= isInForce;
+            text << (isInForce ? "in force" : "behind  ") << "  " << state.name << " (" << state.failureDomain << "): ";
+            if (!state.failure.empty())
+                text << state.failure << '\n';
+            else
+                text << "version " << state.version.value_or(0) << ", keys and servers confirmed " << state.knowledgeAge << " s ago\n";
+        }
+    }
+
+}
+
+Result<PlatformStatus> platformStatus(const std::string& store)
+{
+    const auto address = parseEndpoint(store);
+    if (!isOk(address))
+        return error(address);
+    const auto read = platform::readStoreOverview(value(address));
+    if (!isOk(read))
+        return error(read);
+    const auto& overview = value(read);
+    PlatformStatus status;
+    std::ostringstream text;
+    if (overview.configuration) {
+        status.json["version"] = overview.configuration->version();
+        text << "configuration version " << overview.configuration->version() << ", " << overview.configuration->routes().size() << " routes, " << overview.configuration->keyCount() << " keys\n";
+    } else {
+        status.json["version"] = nullptr;
+        text << "the store holds no usable configuration\n";
+    }
+    describeInstances(overview, status, text);
+    describeServers(overview, status, text);
+    status.json["unusable"] = nlohmann::json::array();
+    for (const auto& entry : overview.unusable) {
+        status.json["unusable"].push_back({ { "key", entry.key }, { "problem", entry.problem } });
+        text << "unusable  " << entry.key << ": " << entry.problem << '\n';
+    }
+    status.text = text.str();
+    if (status.text.ends_with('\n'))
+        status.text.pop_back();
+    return status;
+}
+
+Result<std::vector<std::string>> checkPlatformFile(PlatformFile kind, const std::string& file)
+{
+    const auto text = readFile(file);
+    if (!isOk(text))
+        return error(text);
+    const auto problemsOf = [](const auto& parsed) { return isOk(parsed) ? std::vector<std::string> {} : std::vector<std::string> { error(parsed).detail }; };
+    switch (kind) {
+    case PlatformFile::DeployFile:
+        return platform::checkDeployFile(value(text));
+    case PlatformFile::Settings:
+        return problemsOf(platform::parseSettings(value(text)));
+    case PlatformFile::Configuration:
+        return problemsOf(platform::parseConfiguration(value(text)));
+    }
+    return Error { ErrorKind::InvalidSettings, "unknown kind of file" };
+}
+
+}
--- /dev/null
+++ b/tests/platform/DeployFileTests.cpp
@@ -0,0 +1,67 @@
+#include <platform/operators/DeployFile.h>
+
+#include <catch2/catch.hpp>
+
+using namespace borageslip;
+using platform::checkDeployFile;
+
+namespace {
+
+std::vector<std::string> problemsOf(const std::string& text)
+{
+    const auto checked = checkDeployFile(text);
+    REQUIRE(isOk(checked));
+    return value(checked);
+}
+
+std::string withRole(const std::string& lines)
+{
+    return "build = \"make\"\n[roles.a]\n" + lines;
+}
+
+const std::string soundRole = "run = \"target/a\"\non = \"edge\"\nshare = 1.0\nserves = [\"edge\", \"registry\"]\n";
+
+}
+
+TEST_CASE("the fleet's own deploy file has no problems")
+{
+    const auto text = readFile(BORAGESLIP_SOURCE_DIR "/deploy/system.toml");
+    REQUIRE(isOk(text));
+    CHECK(problemsOf(value(text)).empty());
+}
+
+TEST_CASE("each mistake in a deploy file is named with its place")
+{
+    const std::vector<std::pair<std::string, std::string>> cases {
+        { "[roles.a]\n" + soundRole, "build" },
+        { "build = \"make\"\n", "roles" },
+        { "build = \"make\"\npackages = \"g++\"\n[roles.a]\n" + soundRole, "packages" },
+        { withRole("run = \"bin/a\"\non = \"edge\"\ncount = 1\nserves = [\"registry\"]\n"), "roles.a.run" },
+        { withRole("on = \"edge\"\ncount = 1\nserves = [\"registry\"]\n"), "roles.a.run" },
+        { withRole("run = \"target/a\"\ncount = 1\nserves = [\"registry\"]\n"), "roles.a.on" },
+        { withRole("run = \"target/a\"\non = \"edge\"\nserves = [\"registry\"]\n"), "roles.a" },
+        { withRole("run = \"target/a\"\non = \"edge\"\nshare = 1.5\nserves = [\"registry\"]\n"), "roles.a.share" },
+        { withRole("run = \"target/a\"\non = \"edge\"\ncount = 0\nserves = [\"registry\"]\n"), "roles.a.count" },
+        { withRole("run = \"target/a\"\non = \"edge\"\ncount = 1\nserves = [\"registry\", \"x\"]\n"), "roles.a.serves" },
+        { withRole("run = \"target/a\"\non = \"edge\"\ncount = 1\nserves = [\"edge\"]\n"), "roles" },
+        { withRole(soundRole + "metrics = \"99999/m\"\n"), "roles.a.metrics" },
+        { withRole(soundRole + "metrics = \"9464\"\n"), "roles.a.metrics" },
+        { withRole(soundRole + "env = { LD_PRELOAD = \"x\" }\n"), "roles.a.env.LD_PRELOAD" },
+        { withRole(soundRole + "env = { lower = \"x\" }\n"), "roles.a.env.lower" },
+        { withRole(soundRole) + "[roles.b]\n" + soundRole, "roles.b.serves" },
+    };
+    for (const auto& [text, path] : cases) {
+        INFO(text);
+        const auto problems = problemsOf(text);
+        REQUIRE_FALSE(problems.empty());
+        const bool isNamed = std::any_of(problems.begin(), problems.end(), [&](const auto& problem) { return problem.starts_with(path + ":"); })
+            || (path == "roles.b.serves" && std::any_of(problems.begin(), problems.end(), [](const auto& problem) { return problem.find(".serves: another role") != std::string::npos; }));
+        CHECK(isNamed);
+    }
+}
+
+TEST_CASE("text that is no TOML is refused, not taken for an empty file")
+{
+    CHECK_FALSE(isOk(checkDeployFile("build = ")));
+    CHECK_FALSE(isOk(checkDeployFile("[roles")));
+}
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -336,6 +336,57 @@
     check("no invariant was violated", values["borageslip_entry_invariant_violations_total"] == 0, values)
 
 
+async def run_tool(fleet, *arguments):
+    tool = str(pathlib.Path(fleet.entry.binary).parent / "borageslip")
+    process = await asyncio.create_subprocess_exec(tool, *arguments, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+    output = (await asyncio.wait_for(process.communicate(), 10))[0].decode()
+    return process.returncode, output
+
+
+async def check_operator_commands(fleet):
+    code, output = await run_tool(fleet, "platform-status", "--store", fleet.store.address)
+    check("platform-status shows that the configuration is in force", code == 0 and "in force  entry-1" in output and "service pool: 3 ready" in output, output)
+    fleet.store.put("servers/broken", b"{")
+    code, output = await run_tool(fleet, "--json", "platform-status", "--store", fleet.store.address)
+    check("platform-status names an entry that cannot be used", "servers/broken" in [row["key"] for row in json.loads(output)["unusable"]], output)
+    fleet.store.remove("servers/broken")
+    code, output = await run_tool(fleet, "platform-status", "--store", "127.0.0.1:1")
+    check("platform-status says that the store cannot be reached", code == 4 and "store-unavailable" in output, output)
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "configuration.json"
+        path.write_text(json.dumps(configuration(8)))
+        code, output = await run_tool(fleet, "platform-check", "configuration", str(path))
+        check("platform-check takes a sound configuration", code == 0, output)
+        path.write_text(json.dumps(configuration(8, backends=[])))
+        code, output = await run_tool(fleet, "platform-check", "configuration", str(path))
+        check("platform-check names what is wrong before it is written", code == 1 and "unknown service" in output, output)
+        code, output = await run_tool(fleet, "platform-check", "settings", str(fleet.entry.path))
+        check("platform-check takes the settings that the instance runs with", code == 0, output)
+
+
+async def check_failing_server(fleet):
+    """A server whose health looks good fails its requests: callers must not depend on the retry budget for long."""
+    fleet.behave("sound")
+    fleet.servers[0].behaviour = "failing"
+    statuses = []
+    for number in range(60):
+        if number == 40:
+            fleet.servers[0].runs.clear()
+        statuses.append((await fleet.entry.ask("/read/a", identity=f"r-grey-{number}")).status)
+        await asyncio.sleep(0.1)
+    check("a server that fails its requests is found by its failures", len(fleet.servers[0].runs) <= 4, len(fleet.servers[0].runs))
+    check("callers are served meanwhile", statuses.count(200) >= 55, statuses)
+    fleet.behave("sound")
+    back = 0
+    for number in range(200):
+        await fleet.entry.ask("/read/a", identity=f"r-back-{number}")
+        await asyncio.sleep(0.05)
+        back = len(fleet.servers[0].runs)
+        if back > 20:
+            break
+    check("it gets requests again when it fails no more", back > 20, back)
+
+
 async def check_store_outage(fleet):
     fleet.behave("sound")
     store, entry = fleet.store, fleet.entry
@@ -395,6 +446,7 @@
 async def run(binary):
     store = Store()
     _, store_address = await start_server(store.serve)
+    store.address = store_address
     servers = [BackendServer(f"i-{number}") for number in range(3)]
     for server in servers:
         _, server.address = await start_server(server.serve)
@@ -410,7 +462,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_handover, check_refusals, check_failures, check_streams, check_caller_leaves, check_smuggling, check_kept_connection, check_changes, check_metrics, check_store_outage, check_stop, check_explain):
+            for case in (check_directory, check_handover, check_refusals, check_failures, check_streams, check_caller_leaves, check_smuggling, check_kept_connection, check_changes, check_operator_commands, check_failing_server, check_metrics, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
