Compare placement policies on load patterns against modelled engines

borageslip-load experiment plays a pattern file (surges, hot prefix, crashes, slow and failing engines, callers that give up or return at once) against engines that batch, with the queue, placement, health and retry budget of the product and with random, least-load, hashing and all-knowing placement. The same pattern, policy and seed give the same outcome.

--- a/apps/borageslip-load/Main.cpp
+++ b/apps/borageslip-load/Main.cpp
@@ -1,6 +1,10 @@
 #include <CLI/CLI.hpp>
+#include <atomic>
+#include <borageslip_experiment/borageslip_experiment.h>
 #include <borageslip_load/borageslip_load.h>
+#include <fstream>
 #include <iostream>
+#include <thread>
 
 using namespace borageslip;
 
@@ -62,6 +66,66 @@
     return 0;
 }
 
+struct ExperimentOptions {
+    std::vector<std::string> patterns;
+    std::vector<std::string> policies { "product" };
+    std::string schema = BORAGESLIP_SCHEMAS "/load-pattern.schema.json";
+    std::string results;
+    uint64_t seeds = 100;
+    size_t threads = 2;
+    bool showsClasses = false;
+};
+
+Result<LoadPattern> readPattern(const std::string& file, const nlohmann::json& schema)
+{
+    const auto document = readSettings(file, schema);
+    if (!isOk(document))
+        return error(document);
+    return loadPatternFromJson(value(document));
+}
+
+/** Runs all seeds of one pattern and policy; each seed's outcome does not depend on the number of threads. */
+ExperimentSeries runSeeds(const LoadPattern& pattern, const PlacementStrategy& strategy, const ExperimentOptions& options)
+{
+    ExperimentSeries series { pattern.name, std::string(strategy.name), std::vector<ExperimentOutcome>(options.seeds) };
+    std::atomic<uint64_t> next { 0 };
+    std::vector<std::jthread> threads;
+    for (size_t i = 0; i < options.threads; ++i) {
+        threads.emplace_back([&] {
+            for (auto seed = next++; seed < options.seeds; seed = next++)
+                series.runs[seed] = PolicyExperiment(pattern, strategy, seed + 1).run();
+        });
+    }
+    threads.clear();
+    return series;
+}
+
+int runExperiment(const ExperimentOptions& options)
+{
+    const auto schema = readSettings(options.schema, nlohmann::json::object());
+    if (!isOk(schema))
+        return fail(error(schema));
+    std::vector<ExperimentSeries> all;
+    for (const auto& file : options.patterns) {
+        const auto pattern = readPattern(file, value(schema));
+        if (!isOk(pattern))
+            return fail(error(pattern));
+        for (const auto& name : options.policies) {
+            const auto strategy = placementStrategy(name);
+            if (!isOk(strategy))
+                return fail(error(strategy));
+            all.push_back(runSeeds(value(pattern), value(strategy), options));
+        }
+    }
+    std::cout << experimentTable(all);
+    if (options.showsClasses)
+        std::cout << '\n'
+                  << experimentClassTable(all);
+    if (!options.results.empty())
+        std::ofstream(options.results) << experimentJson(all).dump(2) << '\n';
+    return 0;
+}
+
 int compare(const std::vector<std::string>& files)
 {
     std::vector<nlohmann::json> results;
@@ -79,7 +143,7 @@
 
 int main(int argc, char** argv)
 {
-    CLI::App app("Open-loop load for a borageslip fleet", "borageslip-load");
+    CLI::App app("Load and experiments for a borageslip fleet", "borageslip-load");
     app.set_version_flag("--version", BORAGESLIP_VERSION);
     app.require_subcommand(1);
     RunOptions options;
@@ -99,6 +163,17 @@
     std::vector<std::string> files;
     auto* comparison = app.add_subcommand("compare", "Print medians and spread of results files, a column for each label");
     comparison->add_option("files", files, "Results files")->required();
+    ExperimentOptions experimentOptions;
+    auto* experiment = app.add_subcommand("experiment", "Compare policies on load patterns against modelled engines, without a network");
+    experiment->add_option("--pattern", experimentOptions.patterns, "Pattern file; repeatable")->required();
+    experiment->add_option("--policy", experimentOptions.policies, "Policy; repeatable: product, all-knowing, least-load, hashing, random")->capture_default_str();
+    experiment->add_option("--schema", experimentOptions.schema, "Schema of the pattern files")->capture_default_str();
+    experiment->add_option("--seeds", experimentOptions.seeds, "Runs of each pattern and policy")->check(CLI::Range(1, 100'000))->capture_default_str();
+    experiment->add_option("--threads", experimentOptions.threads, "Runs at once")->check(CLI::Range(1, 64))->capture_default_str();
+    experiment->add_flag("--classes", experimentOptions.showsClasses, "Also print the outcome of each class");
+    experiment->add_option("--results", experimentOptions.results, "Results file to write");
     CLI11_PARSE(app, argc, argv);
+    if (experiment->parsed())
+        return runExperiment(experimentOptions);
     return run->parsed() ? runLoad(options) : compare(files);
 }
--- /dev/null
+++ b/modules/borageslip_experiment/model/CallerRequest.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "../pattern/LoadPattern.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace borageslip {
+
+/** One caller's request in an experiment, from its first arrival to its end. */
+struct CallerRequest {
+    enum class State {
+        Outside, ///< Not at an instance: not arrived yet, or to return after a rejection.
+        Queued,
+        AtEngine,
+        Ended,
+    };
+
+    uint64_t id = 0;
+    const PatternClass* kind = nullptr;
+    uint64_t prefix = 0;
+    int64_t promptTokens = 0;
+    int64_t outputTokens = 0;
+    Duration firstArrival {}; ///< Since the start of the run.
+    Duration arrival {}; ///< Of the present call.
+    Duration deadline {};
+    bool returnsAtOnce = false;
+    int calls = 0; ///< Times that its caller has called.
+
+    State state = State::Outside;
+    size_t instance = 0;
+    size_t engine = 0;
+    int sends = 0;
+    std::vector<uint64_t> tried; ///< Hashes of the engines that had it.
+    int64_t pendingPrefill = 0; ///< Counted at its engine until the first token.
+    Duration sentAt {};
+    Duration firstToken {};
+    bool hasAnswered = false;
+};
+
+}
--- /dev/null
+++ b/modules/borageslip_experiment/model/InstanceModel.cpp
@@ -0,0 +1,61 @@
+#include "InstanceModel.h"
+
+#include <borageslip_core/identity/Hash.h>
+
+namespace borageslip {
+
+namespace {
+
+    constexpr size_t maxWaiting = 256; ///< As in the product.
+    constexpr size_t maxPrefixes = 128; ///< As in the product.
+    constexpr Duration ejection = std::chrono::milliseconds(500);
+
+}
+
+InstanceModel::InstanceModel(size_t engines, size_t instances)
+    : queue(maxWaiting)
+    , retryBudget(FleetRetryBudget::Limits {})
+    , m_own(engines)
+    , m_reported(engines)
+    , m_others(engines)
+    , m_ejectedUntil(engines)
+    , m_prefixes(engines, LruTable<char>(maxPrefixes))
+{
+    retryBudget.setInstanceCount(instances);
+    for (size_t i = 0; i < engines; ++i)
+        health.add(hashOf(i));
+}
+
+uint64_t InstanceModel::hashOf(size_t engine)
+{
+    return hashBytes("engine-" + std::to_string(engine));
+}
+
+void InstanceModel::begin(size_t engine, int64_t pendingPrefill)
+{
+    ++m_own[engine].inFlight;
+    m_own[engine].pendingPrefill += pendingPrefill;
+}
+
+void InstanceModel::end(size_t engine)
+{
+    --m_own[engine].inFlight;
+}
+
+int64_t InstanceModel::uncachedTokens(size_t engine, const CallerRequest& request)
+{
+    if (request.prefix == 0)
+        return request.promptTokens;
+    auto& prefixes = m_prefixes[engine];
+    if (prefixes.find(request.prefix) != nullptr)
+        return request.promptTokens;
+    prefixes.findOrInsert(request.prefix);
+    return request.promptTokens + request.kind->prefixTokens;
+}
+
+void InstanceModel::noteUnreachable(size_t engine, Duration now)
+{
+    m_ejectedUntil[engine] = now + ejection;
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_experiment/model/InstanceModel.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "CallerRequest.h"
+#include "PlacementStrategy.h"
+
+#include <borageslip_routing/collections/LruTable.h>
+#include <borageslip_traffic/limits/FleetRetryBudget.h>
+#include <borageslip_traffic/limits/RequestQueue.h>
+#include <borageslip_traffic/servers/ServerHealth.h>
+
+namespace borageslip {
+
+/** One instance of the fleet in an experiment: its queue, its retry budget, and what it knows of the engines. It decides
+    with the policies of the product; the experiment carries its decisions out. */
+class InstanceModel {
+public:
+    /** What an instance tells the others of one engine. */
+    struct EngineUse {
+        int inFlight = 0;
+        int64_t pendingPrefill = 0;
+    };
+
+    InstanceModel(size_t engines, size_t instances);
+
+    RequestQueue queue;
+    FleetRetryBudget retryBudget;
+    ServerHealth health;
+
+    void begin(size_t engine, int64_t pendingPrefill);
+    void end(size_t engine);
+    void promptRead(size_t engine, int64_t pendingPrefill) { m_own[engine].pendingPrefill -= pendingPrefill; }
+
+    const std::vector<EngineUse>& ownUse() const { return m_own; }
+    std::vector<EngineUse>& othersUse() { return m_others; }
+
+    /** What the others know of this instance: its own use at its last report. */
+    const std::vector<EngineUse>& reportedUse() const { return m_reported; }
+    void markReported() { m_reported = m_own; }
+
+    /** Prompt tokens that the engine has to read for the request, as far as this instance knows. */
+    int64_t uncachedTokens(size_t engine, const CallerRequest&);
+
+    /** Ejects an engine that could not be reached. */
+    void noteUnreachable(size_t engine, Duration now);
+    bool isEjected(size_t engine, Duration now) const { return now < m_ejectedUntil[engine]; }
+
+    static uint64_t hashOf(size_t engine);
+
+private:
+    std::vector<EngineUse> m_own;
+    std::vector<EngineUse> m_reported;
+    std::vector<EngineUse> m_others;
+    std::vector<Duration> m_ejectedUntil;
+    std::vector<LruTable<char>> m_prefixes;
+};
+
+}
--- /dev/null
+++ b/modules/borageslip_experiment/model/PlacementStrategy.cpp
@@ -0,0 +1,78 @@
+#include "PlacementStrategy.h"
+
+#include <borageslip_core/identity/Hash.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <vector>
+
+namespace borageslip {
+
+namespace {
+
+    bool hasPlace(const ServerCandidate& candidate)
+    {
+        return !candidate.isExcluded && !candidate.isEjected && (candidate.slots == 0 || candidate.inFlight < candidate.slots);
+    }
+
+    template <typename Key>
+    std::optional<size_t> smallest(std::span<const ServerCandidate> candidates, Key key)
+    {
+        std::optional<size_t> best;
+        for (size_t i = 0; i < candidates.size(); ++i) {
+            if (hasPlace(candidates[i]) && (!best || key(candidates[i]) < key(candidates[*best])))
+                best = i;
+        }
+        return best;
+    }
+
+    std::optional<size_t> chooseAsProduct(std::span<const ServerCandidate> candidates, uint64_t affinity, uint64_t tieBreak)
+    {
+        const auto choice = chooseServer(candidates, affinity, tieBreak);
+        return choice ? std::optional(choice->index) : std::nullopt;
+    }
+
+    std::optional<size_t> chooseAtRandom(std::span<const ServerCandidate> candidates, uint64_t /*affinity*/, uint64_t tieBreak)
+    {
+        return smallest(candidates, [&](const ServerCandidate& candidate) { return hashPair(tieBreak, candidate.hash); });
+    }
+
+    std::optional<size_t> chooseLeastLoaded(std::span<const ServerCandidate> candidates, uint64_t /*affinity*/, uint64_t tieBreak)
+    {
+        return smallest(candidates, [&](const ServerCandidate& candidate) { return std::pair(candidate.inFlight, hashPair(tieBreak, candidate.hash)); });
+    }
+
+    std::optional<size_t> chooseByHash(std::span<const ServerCandidate> candidates, uint64_t affinity, uint64_t tieBreak)
+    {
+        const auto key = affinity == 0 ? tieBreak : affinity;
+        return smallest(candidates, [&](const ServerCandidate& candidate) { return -rendezvousScore(key, candidate.hash); });
+    }
+
+    constexpr std::array<PlacementStrategy, 5> strategies { {
+        { "product", "rendezvous by the prompt's beginning under a load bound, loads from reports", &chooseAsProduct, false },
+        { "all-knowing", "as product, with the present load of all instances", &chooseAsProduct, true },
+        { "least-load", "the least loaded engine, loads from reports", &chooseLeastLoaded, false },
+        { "hashing", "rendezvous by the prompt's beginning without a bound", &chooseByHash, false },
+        { "random", "any engine with a free slot", &chooseAtRandom, false },
+    } };
+
+}
+
+std::span<const PlacementStrategy> placementStrategies()
+{
+    return strategies;
+}
+
+Result<PlacementStrategy> placementStrategy(std::string_view name)
+{
+    const auto* const found = std::find_if(strategies.begin(), strategies.end(), [&](const auto& strategy) { return strategy.name == name; });
+    if (found != strategies.end())
+        return *found;
+    std::string known;
+    for (const auto& strategy : strategies)
+        known += (known.empty() ? "" : ", ") + std::string(strategy.name);
+    return Error { ErrorKind::InvalidSettings, "unknown policy \"" + std::string(name) + "\"; known: " + known };
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_experiment/run/PolicyExperiment.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "../model/EngineModel.h"
+#include "../model/InstanceModel.h"
+#include "../model/PlacementStrategy.h"
+#include "ExperimentOutcome.h"
+
+#include <memory>
+#include <queue>
+#include <random>
+
+namespace borageslip {
+
+/** One run of a load pattern against modelled engines, in simulated time: the same pattern, strategy and seed give the
+    same outcome.
+
+    The requests and their times depend on the pattern and the seed only, so that strategies are compared on the same
+    load. */
+class PolicyExperiment {
+public:
+    PolicyExperiment(const LoadPattern&, const PlacementStrategy&, uint64_t seed);
+
+    ExperimentOutcome run();
+
+private:
+    enum class Happening {
+        Call, ///< A caller calls, for the first time or again.
+        Leave, ///< A caller gives up.
+        StepEnd, ///< An engine has finished a step.
+        Report, ///< An instance tells the others its load.
+        QueueCheck, ///< An instance looks for places and for requests that have waited too long.
+        EventStart,
+        EventEnd,
+    };
+    struct Scheduled {
+        Duration at {};
+        uint64_t order = 0;
+        Happening happening = Happening::Call;
+        uint64_t subject = 0;
+
+        bool operator>(const Scheduled& other) const { return std::pair(at, order) > std::pair(other.at, other.order); }
+    };
+    struct EngineState {
+        explicit EngineState(const EngineModelSettings& settings)
+            : model(settings)
+        {
+        }
+
+        EngineModel model;
+        bool isBusy = false;
+        bool isDown = false;
+        bool isFailing = false;
+        Duration downSince {};
+        uint64_t crashes = 0; ///< A step that began before a crash ends with nothing.
+        std::vector<StepOutput> output; ///< Of the step under way.
+    };
+
+    void planArrivals();
+    void planArrivals(const PatternClass&, size_t index);
+    double rateFactor(const PatternClass&, Duration) const;
+    CallerRequest drawRequest(const PatternClass&, size_t index, Duration at);
+    void schedule(Duration at, Happening, uint64_t subject);
+    void dispatch(const Scheduled&);
+
+    void call(CallerRequest&);
+    void leave(CallerRequest&);
+    void enqueue(CallerRequest&);
+    void checkQueue(size_t instance);
+    void report(size_t instance);
+    bool place(CallerRequest&);
+    std::optional<size_t> choose(const CallerRequest&);
+    bool send(CallerRequest&, size_t engine);
+    void afterFailure(CallerRequest&);
+    void reject(CallerRequest&);
+    void releaseEngine(CallerRequest&);
+    void noteRead(CallerRequest&);
+    void end(CallerRequest&, int ClassOutcome::*);
+
+    void startStep(size_t engine);
+    void endStep(uint64_t subject);
+    void deliver(const StepOutput&);
+    void applyEvent(const PatternEvent&, bool isStart);
+    void crash(size_t engine);
+    bool isCounted(const CallerRequest& request) const { return request.firstArrival >= m_pattern.warmUp; }
+    TimePoint timePoint(Duration at) const { return TimePoint() + std::chrono::hours(1) + at; }
+    TimePoint now() const { return timePoint(m_now); }
+    double draw() { return std::uniform_real_distribution<>(0, 1)(m_random); }
+
+    const LoadPattern& m_pattern;
+    const PlacementStrategy m_strategy;
+    std::mt19937_64 m_random;
+    Duration m_now {};
+    uint64_t m_order = 0;
+    std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>> m_schedule;
+    std::vector<std::unique_ptr<CallerRequest>> m_requests;
+    std::vector<EngineState> m_engines;
+    std::vector<InstanceModel> m_instances;
+    ExperimentOutcome m_outcome;
+};
+
+}
--- /dev/null
+++ b/tests/borageslip_experiment/PolicyExperimentTests.cpp
@@ -0,0 +1,82 @@
+#include <borageslip_core/borageslip_core.h>
+#include <borageslip_experiment/borageslip_experiment.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace borageslip;
+
+namespace {
+
+LoadPattern patternOf(const std::string& name)
+{
+    const auto schema = readSettings(BORAGESLIP_SOURCE_DIR "/schemas/load-pattern.schema.json", nlohmann::json::object());
+    REQUIRE(isOk(schema));
+    const auto document = readSettings(BORAGESLIP_SOURCE_DIR "/examples/patterns/" + name + ".json", value(schema));
+    INFO((isOk(document) ? "" : error(document).detail));
+    REQUIRE(isOk(document));
+    auto pattern = loadPatternFromJson(value(document));
+    REQUIRE(isOk(pattern));
+    return value(std::move(pattern));
+}
+
+ExperimentOutcome runOnce(const LoadPattern& pattern, const std::string& policy, uint64_t seed = 1)
+{
+    const auto strategy = placementStrategy(policy);
+    REQUIRE(isOk(strategy));
+    return PolicyExperiment(pattern, value(strategy), seed).run();
+}
+
+}
+
+TEST_CASE("the same pattern, policy and seed give the same outcome")
+{
+    const auto pattern = patternOf("crash");
+    const std::vector<ExperimentSeries> first { { "crash", "product", { runOnce(pattern, "product", 5) } } };
+    const std::vector<ExperimentSeries> second { { "crash", "product", { runOnce(pattern, "product", 5) } } };
+    CHECK(experimentJson(first) == experimentJson(second));
+}
+
+TEST_CASE("each policy is offered the same requests, and each request ends once")
+{
+    const auto pattern = patternOf("jump");
+    const auto offered = runOnce(pattern, "product").total().offered;
+    CHECK(offered > 1000);
+    for (const auto& strategy : placementStrategies()) {
+        const auto total = runOnce(pattern, std::string(strategy.name)).total();
+        CHECK(total.offered == offered);
+        CHECK(total.onTime + total.late + total.timedOut + total.rejected + total.failed + total.left == offered);
+    }
+}
+
+TEST_CASE("on a steady load nothing is rejected and nearly all requests are on time")
+{
+    const auto outcome = runOnce(patternOf("steady"), "product");
+    CHECK(outcome.rejections == 0);
+    CHECK(outcome.total().onTimeShare() >= 0.98);
+}
+
+TEST_CASE("a surge of one account costs the others at most three in a hundred of what they get alone")
+{
+    const auto surge = runOnce(patternOf("hot-tenant"), "product");
+    const auto alone = runOnce(patternOf("steady"), "product");
+    for (const auto* name : { "interactive/urgent", "batch/report", "archive/summary" })
+        CHECK(surge.classes.at(name).onTimeShare() >= 0.97 * alone.classes.at(name).onTimeShare());
+}
+
+TEST_CASE("the most urgent class stays on time when all traffic triples")
+{
+    CHECK(runOnce(patternOf("jump"), "product").classes.at("interactive/urgent").onTimeShare() >= 0.98);
+}
+
+TEST_CASE("a document that names an unknown class or policy is refused with its name")
+{
+    auto document = nlohmann::json::parse(R"({"name":"x","seconds":5,"classes":[{"name":"a","account":"b","rate":1,"prompt_tokens":[1,2],
+        "output_tokens":[1,2],"timeout_ms":1000,"latency_objective_ms":500}],"events":[{"kind":"surge","at_s":1,"seconds":1,"class":"none"}]})");
+    const auto pattern = loadPatternFromJson(document);
+    REQUIRE_FALSE(isOk(pattern));
+    CHECK(error(pattern).detail.find("none") != std::string::npos);
+    document["events"][0]["class"] = "a";
+    CHECK(isOk(loadPatternFromJson(document)));
+    CHECK_FALSE(isOk(placementStrategy("none")));
+}
