Keep an eighth of a server's places for the most urgent work while it comes

Cause: a freed place is taken at once by the instance that frees it, for its own waiting requests, however little urgent; urgent requests that come to another instance wait for a place of its own. Change: UrgentReserve: while more urgent work has come within 5 s, a request may use seven eighths of a server's places. The state of a service (queue, retry budget, usual time, reserve) is one struct of TrafficEngine.

--- a/modules/borageslip_experiment/model/CallerRequest.h
+++ b/modules/borageslip_experiment/model/CallerRequest.h
@@ -2,6 +2,8 @@
 
 #include "../pattern/LoadPattern.h"
 
+#include <borageslip_traffic/limits/RequestQueue.h>
+
 #include <cstdint>
 #include <vector>
 
@@ -16,6 +18,8 @@
         Ended,
     };
 
+    Urgency urgency() const { return { kind->accountPriority, kind->priority }; }
+
     uint64_t id = 0;
     const PatternClass* kind = nullptr;
     uint64_t prefix = 0;
--- a/modules/borageslip_experiment/model/InstanceModel.h
+++ b/modules/borageslip_experiment/model/InstanceModel.h
@@ -6,6 +6,7 @@
 #include <borageslip_routing/collections/LruTable.h>
 #include <borageslip_traffic/limits/FleetRetryBudget.h>
 #include <borageslip_traffic/limits/RequestQueue.h>
+#include <borageslip_traffic/limits/UrgentReserve.h>
 #include <borageslip_traffic/servers/ServerHealth.h>
 
 namespace borageslip {
@@ -25,6 +26,7 @@
     RequestQueue queue;
     FleetRetryBudget retryBudget;
     ServerHealth health;
+    UrgentReserve urgentReserve;
 
     void begin(size_t engine, int64_t pendingPrefill);
     void end(size_t engine);
--- a/modules/borageslip_experiment/run/PolicyExperiment.cpp
+++ b/modules/borageslip_experiment/run/PolicyExperiment.cpp
@@ -165,6 +165,7 @@
     request.instance = std::uniform_int_distribution<size_t>(0, m_instances.size() - 1)(m_random);
     auto& instance = m_instances[request.instance];
     instance.retryBudget.recordRequest(now());
+    instance.urgentReserve.recordArrival(request.urgency(), now());
     if (instance.queue.isEmpty() && place(request))
         return;
     if (request.state == CallerRequest::State::Outside)
@@ -177,7 +178,7 @@
     const double cost = requestCost(request.promptTokens + kind.prefixTokens, request.outputTokens);
     const RequestId id(std::to_string(request.id));
     request.state = CallerRequest::State::Queued;
-    const auto pushed = m_instances[request.instance].queue.push({ kind.accountPriority, kind.priority }, { id, AccountId(kind.account), cost, now(), timePoint(request.deadline) });
+    const auto pushed = m_instances[request.instance].queue.push(request.urgency(), { id, AccountId(kind.account), cost, now(), timePoint(request.deadline) });
     if (pushed.displaced)
         reject(*m_requests[std::stoull(pushed.displaced->id.text())]);
     if (!pushed.isQueued)
@@ -226,6 +227,7 @@
 {
     auto& instance = m_instances[request.instance];
     const auto tieBreak = hashPair(request.id + 1, static_cast<uint64_t>(request.calls));
+    const int slots = instance.urgentReserve.slotsFor(request.urgency(), m_pattern.engine.slots, now());
     std::vector<ServerCandidate> candidates;
     std::vector<size_t> engines;
     for (size_t i = 0; i < m_engines.size(); ++i) {
@@ -233,7 +235,7 @@
             continue;
         ServerCandidate candidate;
         candidate.hash = InstanceModel::hashOf(i);
-        candidate.slots = m_pattern.engine.slots;
+        candidate.slots = slots;
         candidate.isExcluded = std::find(request.tried.begin(), request.tried.end(), candidate.hash) != request.tried.end();
         candidate.isEjected = instance.isEjected(i, m_now) || instance.health.isAvoided(candidate.hash, tieBreak, now());
         const auto add = [&](const InstanceModel::EngineUse& use) {
--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -21,6 +21,7 @@
 #include "limits/FleetRetryBudget.h"
 #include "limits/RequestQueue.h"
 #include "limits/ReturnTime.h"
+#include "limits/UrgentReserve.h"
 #include "limits/WaitingRoom.h"
 #include "metrics/DurationHistogram.h"
 #include "metrics/TrafficCounts.h"
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -100,7 +100,7 @@
 
 asio::awaitable<void> Exchange::serve()
 {
-    m_engine.retryBudget(m_admitted.service).recordRequest(m_engine.clock().now());
+    m_engine.recordArrival(m_admitted);
     int unreachable = 0;
     while (m_stop == Stop::None && m_sends < route().maxAttempts && unreachable < maxUnreachable) {
         auto server = co_await awaitServer();
@@ -178,7 +178,7 @@
     // A stream's time limit ends with its last event, and its caller is served from the first one on.
     const auto serviceTime = route().kind == RequestKind::Stream ? Duration::zero() : m_engine.serviceTime(m_admitted.service);
     const auto giveUpAt = latestStart(m_arrivedAt, m_deadline, route().latencyObjective, serviceTime);
-    WaitingPlace place(m_engine.waitingRoom(m_admitted.service), { m_admitted.accountPriority, route().priority }, queuedRequest(), m_placeSignal);
+    WaitingPlace place(m_engine.waitingRoom(m_admitted.service), m_admitted.urgency(), queuedRequest(), m_placeSignal);
     const auto queuedAt = m_engine.clock().now();
     while (m_stop == Stop::None && place.isKept()) {
         if (place.isFirst()) {
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -130,6 +130,7 @@
     const auto now = m_clock.now();
     const auto requestHash = hashBytes(facts.requestId);
     const auto& health = m_servers.health(admitted.service);
+    const auto& reserve = stateOf(admitted.service).urgentReserve;
     m_candidates.clear();
     m_candidateServers.clear();
     for (const auto& server : m_servers.ofService(admitted.service)) {
@@ -137,7 +138,8 @@
             continue;
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
         const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), requestHash, now);
-        m_candidates.push_back({ server->hash(), server->inFlight(), server->description().slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
+        const int slots = reserve.slotsFor(admitted.urgency(), server->description().slots, now);
+        m_candidates.push_back({ server->hash(), server->inFlight(), slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
             server->description().failureDomain == m_settings.failureDomain });
         m_candidateServers.push_back(server);
     }
@@ -152,44 +154,43 @@
 size_t TrafficEngine::waitingCount() const
 {
     size_t count = 0;
-    for (const auto& [service, room] : m_waitingRooms)
-        count += room.size();
+    for (const auto& [service, state] : m_services)
+        count += state.waitingRoom.size();
     return count;
 }
 
-FleetRetryBudget& TrafficEngine::retryBudget(const std::string& service)
+TrafficEngine::ServiceState& TrafficEngine::stateOf(const std::string& service)
 {
-    const auto [found, isNew] = m_retryBudgets.try_emplace(service, m_settings.retryBudget);
+    const auto [found, isNew] = m_services.try_emplace(service, m_settings.retryBudget);
     if (isNew)
-        found->second.setInstanceCount(m_instances);
+        found->second.retryBudget.setInstanceCount(m_instances);
     return found->second;
 }
 
-void TrafficEngine::setInstanceCount(size_t instances)
+void TrafficEngine::recordArrival(const AdmittedRequest& admitted)
 {
-    m_instances = instances;
-    for (auto& [service, budget] : m_retryBudgets)
-        budget.setInstanceCount(instances);
+    auto& state = stateOf(admitted.service);
+    state.retryBudget.recordRequest(m_clock.now());
+    state.urgentReserve.recordArrival(admitted.urgency(), m_clock.now());
 }
 
-Duration TrafficEngine::serviceTime(const std::string& service) const
+void TrafficEngine::setInstanceCount(size_t instances)
 {
-    const auto found = m_serviceTimes.find(service);
-    return found == m_serviceTimes.end() ? Duration::zero() : found->second;
+    m_instances = instances;
+    for (auto& [service, state] : m_services)
+        state.retryBudget.setInstanceCount(instances);
 }
 
 void TrafficEngine::recordServiceTime(const std::string& service, Duration duration)
 {
     constexpr int smoothing = 16; // The average follows a change within some tens of requests.
-    const auto [found, isNew] = m_serviceTimes.try_emplace(service, duration);
-    if (!isNew)
-        found->second += (duration - found->second) / smoothing;
+    auto& average = stateOf(service).serviceTime;
+    average = average == Duration::zero() ? duration : average + (duration - average) / smoothing;
 }
 
 void TrafficEngine::placeFreed(const std::string& service)
 {
-    if (const auto found = m_waitingRooms.find(service); found != m_waitingRooms.end())
-        found->second.wakeFirst();
+    stateOf(service).waitingRoom.wakeFirst();
 }
 
 std::chrono::milliseconds TrafficEngine::retryAfter(std::chrono::milliseconds timeLeft)
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -3,6 +3,7 @@
 #include "../configuration/TrafficConfiguration.h"
 #include "../http/HttpMessages.h"
 #include "../limits/FleetRetryBudget.h"
+#include "../limits/UrgentReserve.h"
 #include "../limits/WaitingRoom.h"
 #include "../metrics/TrafficCounts.h"
 #include "../placement/ServerChoice.h"
@@ -36,6 +37,8 @@
     std::string account;
     int accountPriority = 0;
     std::string service;
+
+    Urgency urgency() const { return { accountPriority, route->priority }; }
 };
 
 /** What all requests of this instance share: the configuration in force, the backend servers, the queues and the retry
@@ -77,13 +80,16 @@
     int64_t uncachedTokens(BackendServer&, const RequestFacts&);
 
     bool hasServers(std::string_view service) const;
-    WaitingRoom& waitingRoom(const std::string& service) { return m_waitingRooms[service]; }
+    WaitingRoom& waitingRoom(const std::string& service) { return stateOf(service).waitingRoom; }
     size_t waitingCount() const;
-    FleetRetryBudget& retryBudget(const std::string& service);
+    FleetRetryBudget& retryBudget(const std::string& service) { return stateOf(service).retryBudget; }
+
+    /** To be called once for each admitted request. */
+    void recordArrival(const AdmittedRequest&);
     void setInstanceCount(size_t);
 
     /** Usual time that a backend server of the service takes for a request; zero when not known. */
-    Duration serviceTime(const std::string& service) const;
+    Duration serviceTime(const std::string& service) { return stateOf(service).serviceTime; }
     void recordServiceTime(const std::string& service, Duration);
 
     /** To be called when a request at a backend server has ended. */
@@ -103,6 +109,21 @@
     std::span<char> scratch() { return m_scratch; }
 
 private:
+    /** What requests of one service share. */
+    struct ServiceState {
+        explicit ServiceState(const FleetRetryBudget::Limits& limits)
+            : retryBudget(limits)
+        {
+        }
+
+        WaitingRoom waitingRoom {};
+        FleetRetryBudget retryBudget;
+        UrgentReserve urgentReserve {};
+        Duration serviceTime {}; ///< Moving average; zero when not known.
+    };
+
+    ServiceState& stateOf(const std::string& service);
+
     static constexpr size_t scratchBytes = 32 * 1024;
 
     const Clock& m_clock;
@@ -113,11 +134,9 @@
     TimePoint m_confirmedAt {};
     bool m_refusesNewRequests = false;
     ServerTable m_servers;
-    std::map<std::string, WaitingRoom, std::less<>> m_waitingRooms;
-    std::map<std::string, Duration, std::less<>> m_serviceTimes;
+    std::map<std::string, ServiceState, std::less<>> m_services;
     std::vector<ServerCandidate> m_candidates; ///< Of the choice under way; kept for its memory.
     std::vector<BackendServerPtr> m_candidateServers;
-    std::map<std::string, FleetRetryBudget, std::less<>> m_retryBudgets;
     size_t m_instances = 1;
     TrafficCounts m_counts;
     uint64_t m_order = 0;
--- a/tests/borageslip_traffic/WaitingTests.cpp
+++ b/tests/borageslip_traffic/WaitingTests.cpp
@@ -146,3 +146,19 @@
     for (int tenth = 2; tenth < 10; ++tenth)
         CHECK(tenths[tenth] > 200);
 }
+
+TEST_CASE("some places are kept for the most urgent work while it comes, and none when it does not")
+{
+    UrgentReserve reserve;
+    const Urgency urgent { 0, 0 };
+    const Urgency other { 0, 1 };
+    CHECK(reserve.slotsFor(other, 16, start) == 16);
+    reserve.recordArrival(other, start);
+    CHECK(reserve.slotsFor(other, 16, start) == 16);
+    reserve.recordArrival(urgent, start);
+    CHECK(reserve.slotsFor(other, 16, start + 1s) == 14);
+    CHECK(reserve.slotsFor(urgent, 16, start + 1s) == 16);
+    CHECK(reserve.slotsFor(other, 4, start + 1s) == 4);
+    CHECK(reserve.slotsFor(other, 0, start + 1s) == 0);
+    CHECK(reserve.slotsFor(other, 16, start + 6s) == 16);
+}
--- a/tools/entry_cost.py
+++ b/tools/entry_cost.py
@@ -2,14 +2,14 @@
 """Measures what one borageslip-entry costs: time from its start until it is ready, processor time of a request and of a
 streamed event, and resident memory. Runs against the stand-ins of tests/platform on loopback.
 
-The processor time is that of the process alone, as the kernel counts it, so that the speed of the stand-ins does not
-matter; an idle second is subtracted.
+The processor time is that of the process alone over its life, as the kernel counts it, so that the speed of the stand-ins
+does not matter; that of an idle process over the same time is subtracted, its start included.
 """
 import argparse
 import asyncio
 import json
-import os
 import pathlib
+import resource
 import sys
 import tempfile
 import time
@@ -18,14 +18,6 @@
 from entry_test import Entry, read_answer, request  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
-TICKS = os.sysconf("SC_CLK_TCK")
-
-
-def processor_seconds(pid):
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
-
-
 def resident_megabytes(pid):
     line = next(line for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines() if line.startswith("VmRSS"))
     return int(line.split()[1]) / 1024
@@ -43,56 +35,61 @@
     return good
 
 
-async def measured(entry, work):
-    """Returns the work's result and the processor time that it took."""
-    pid = entry.process.pid
-    idle_from = processor_seconds(pid)
-    await asyncio.sleep(1)
-    idle = processor_seconds(pid) - idle_from
-    before, started = processor_seconds(pid), time.monotonic()
-    result = await work
-    spent = processor_seconds(pid) - before
-    return result, max(0.0, spent - idle * (time.monotonic() - started))
+async def lifetime(binary, store_address, work):
+    """Starts an instance, lets it do the work, and stops it. Returns the work's result, the seconds until it was ready, its
+    memory in MB, its processor time and the time from its start to its stop."""
+    with tempfile.TemporaryDirectory() as folder:
+        entry = Entry(binary, folder, store_address, grace_s=1)
+        before = resource.getrusage(resource.RUSAGE_CHILDREN)
+        started = time.monotonic()
+        await entry.start()
+        if not await entry.until(entry.is_ready):
+            raise RuntimeError("the instance did not become ready")
+        ready_after = time.monotonic() - started
+        result = await work(entry)
+        memory = resident_megabytes(entry.process.pid)
+        entry.process.terminate()
+        await entry.process.wait()
+        elapsed = time.monotonic() - started
+        after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    spent = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+    return result, ready_after, memory, spent, elapsed
 
 
 async def run(binary, callers, requests, streams, events):
-    store, servers, listeners = Store(), [], []
-    listener, store_address = await start_server(store.serve)
-    listeners.append(listener)
+    store, servers = Store(), []
+    _, store_address = await start_server(store.serve)
     for number in range(4):
         server = BackendServer(f"server-{number}")
         server.pieces, server.piece_delay = events, 0.002
-        listener, server.address = await start_server(server.serve)
-        listeners.append(listener)
+        _, server.address = await start_server(server.serve)
         servers.append(server)
     store.put_json("op/config", configuration(1, routes=[{**route, "timeout_ms": 60000} for route in configuration(1)["routes"]]))
     for server in servers:
         store.put_json(f"servers/{server.identity}", server.entry("pool", slots=256))
-    with tempfile.TemporaryDirectory() as folder:
-        entry = Entry(binary, folder, store_address)
-        started = time.monotonic()
-        await entry.start()
-        if not await entry.until(entry.is_ready):
-            raise RuntimeError("the instance did not become ready")
-        ready_after = time.monotonic() - started
-        try:
-            await asyncio.gather(*[caller(entry, "/read/a", 20, "GET", b"") for _ in range(callers)])
-            plain, plain_time = await measured(entry, asyncio.gather(*[caller(entry, "/read/a", requests // callers, "GET", b"") for _ in range(callers)]))
-            streamed, stream_time = await measured(entry, asyncio.gather(*[caller(entry, "/stream/a", 1, "POST", b"x") for _ in range(streams)]))
-            memory = resident_megabytes(entry.process.pid)
-        finally:
-            entry.process.terminate()
-            await entry.process.wait()
-    request_ms = 1000 * plain_time / max(1, sum(plain))
-    event_ms = 1000 * (stream_time - request_ms / 1000 * sum(streamed)) / max(1, sum(streamed) * events)
+
+    async def idle(_):
+        await asyncio.sleep(5)
+
+    def many(path, method, count, tasks, body=b""):
+        return lambda entry: asyncio.gather(*[caller(entry, path, count, method, body) for _ in range(tasks)])
+
+    _, ready_after, idle_memory, idle_spent, idle_time = await lifetime(binary, store_address, idle)
+    plain, _, _, plain_spent, plain_time = await lifetime(binary, store_address, many("/read/a", "GET", requests // callers, callers))
+    streamed, _, memory, stream_spent, stream_time = await lifetime(binary, store_address, many("/stream/a", "POST", 1, streams, b"x"))
+    per_second = idle_spent / idle_time
+    request_ms = 1000 * (plain_spent - per_second * plain_time) / max(1, sum(plain))
+    event_ms = (1000 * (stream_spent - per_second * stream_time) - request_ms * sum(streamed)) / max(1, sum(streamed) * events)
     return {
         "ready_s": round(ready_after, 3),
+        "idle_ms_per_s": round(1000 * per_second, 2),
         "requests": sum(plain),
         "request_ms": round(request_ms, 4),
         "streams": sum(streamed),
         "events": sum(streamed) * events,
         "event_ms": round(event_ms, 5),
-        "resident_mb": round(memory, 1),
+        "resident_idle_mb": round(idle_memory, 1),
+        "resident_streams_mb": round(memory, 1),
     }
 
 
