Remove the retry loop, back-off and hedging policies that nothing uses

Cause: RetryLoop, Backoff and HedgePolicy were used by their tests only: Exchange and ChatRouter repeat by the attempt chart and a budget, and hedging was never wired. Ruled out: wiring HedgePolicy into the traffic path: callers' requests may run once or on max_attempts servers only.

--- a/modules/borageslip_request/borageslip_request.h
+++ b/modules/borageslip_request/borageslip_request.h
@@ -14,7 +14,6 @@
 #include "idempotency/OutcomeTable.h"
 #include "idempotency/RecordedOutcome.h"
 #include "idempotency/TicketMint.h"
-#include "retry/RetryLoop.h"
 #include "services/ServiceClient.h"
 #include "stream/AnswerAssembler.h"
 #include "stream/EngineClient.h"
--- a/modules/borageslip_routing/borageslip_routing.h
+++ b/modules/borageslip_routing/borageslip_routing.h
@@ -25,6 +25,4 @@
 #include "placement/PlacementPolicy.h"
 #include "placement/PrefixIndex.h"
 #include "placement/RendezvousPlacement.h"
-#include "retry/Backoff.h"
-#include "retry/HedgePolicy.h"
 #include "retry/RetryBudget.h"
