Set sockets non-blocking once

Cause: each read of a caller's or server's bytes set the socket non-blocking, which Boost.Asio turns into a system call. Change: configureSocket() does it.

--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -74,7 +74,6 @@
         if (failure || !m_socket.is_open())
             break;
         const auto scratch = m_engine.scratch();
-        m_socket.non_blocking(true, failure);
         const auto count = m_socket.read_some(asio::buffer(scratch.data(), scratch.size()), failure);
         if (failure == asio::error::would_block)
             continue;
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -274,7 +274,6 @@
     if (failure || !connection.socket.is_open())
         co_return false;
     const auto scratch = m_engine.scratch();
-    connection.socket.non_blocking(true, failure);
     const auto count = connection.socket.read_some(asio::buffer(scratch.data(), scratch.size()), failure);
     if (failure == asio::error::would_block)
         co_return true;
--- a/modules/borageslip_traffic/net/SocketOptions.cpp
+++ b/modules/borageslip_traffic/net/SocketOptions.cpp
@@ -33,6 +33,9 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    // Readers wait for bytes and then read what there is. Boost.Asio makes a system call each time that this is set.
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
 }
 
 Result<tcp::endpoint> parseEndpoint(std::string_view text)
