Tell the failures of servers between instances

Ruled out: fewer samples before a share is lowered, which lowers sound servers after rare failures. Change: reports between instances carry the totals of answers and failures of the servers at which requests ended lately; PeerBoard turns them into what is new, once, whatever datagrams are lost, repeated or overtaken; ServerHealth judges by them too. Reports of earlier releases are still read, and read the new ones. Tests: ServerHealthTests "what other instances have seen", PolicyTests "outcomes that a peer reports count once".

--- a/modules/borageslip_experiment/model/InstanceModel.cpp
+++ b/modules/borageslip_experiment/model/InstanceModel.cpp
@@ -2,6 +2,8 @@
 
 #include <borageslip_core/identity/Hash.h>
 
+#include <algorithm>
+
 namespace borageslip {
 
 namespace {
@@ -15,6 +17,7 @@
 InstanceModel::InstanceModel(size_t engines, size_t instances)
     : queue(maxWaiting)
     , retryBudget(FleetRetryBudget::Limits {})
+    , m_outcomes(engines)
     , m_own(engines)
     , m_reported(engines)
     , m_others(engines)
@@ -53,6 +56,30 @@
     return request.promptTokens + request.kind->prefixTokens;
 }
 
+void InstanceModel::markReported()
+{
+    m_reported = m_own;
+    std::fill(m_outcomes.begin(), m_outcomes.end(), Outcomes {});
+}
+
+void InstanceModel::noteAnswer(size_t engine, Duration toFirstToken, TimePoint sentAt, TimePoint now)
+{
+    ++m_outcomes[engine].answers;
+    health.recordAnswer(hashOf(engine), toFirstToken, sentAt, now);
+}
+
+void InstanceModel::noteFailure(size_t engine, TimePoint now)
+{
+    ++m_outcomes[engine].failures;
+    health.recordFailure(hashOf(engine), now, now);
+}
+
+void InstanceModel::takeOutcomes(const InstanceModel& other, TimePoint now)
+{
+    for (size_t engine = 0; engine < m_outcomes.size(); ++engine)
+        health.recordElsewhere(hashOf(engine), other.m_outcomes[engine].answers, other.m_outcomes[engine].failures, now);
+}
+
 void InstanceModel::noteUnreachable(size_t engine, Duration now)
 {
     m_ejectedUntil[engine] = now + ejection;
--- a/modules/borageslip_experiment/model/InstanceModel.h
+++ b/modules/borageslip_experiment/model/InstanceModel.h
@@ -37,11 +37,18 @@
 
     /** What the others know of this instance: its own use at its last report. */
     const std::vector<EngineUse>& reportedUse() const { return m_reported; }
-    void markReported() { m_reported = m_own; }
+    void markReported();
 
     /** Prompt tokens that the engine has to read for the request, as far as this instance knows. */
     int64_t uncachedTokens(size_t engine, const CallerRequest&);
 
+    /** Counts a request's end for this instance's health of the engines and for its next report. */
+    void noteAnswer(size_t engine, Duration toFirstToken, TimePoint sentAt, TimePoint now);
+    void noteFailure(size_t engine, TimePoint now);
+
+    /** Takes what another instance has counted since its last report. */
+    void takeOutcomes(const InstanceModel& other, TimePoint now);
+
     /** Ejects an engine that could not be reached. */
     void noteUnreachable(size_t engine, Duration now);
     bool isEjected(size_t engine, Duration now) const { return now < m_ejectedUntil[engine]; }
@@ -49,6 +56,12 @@
     static uint64_t hashOf(size_t engine);
 
 private:
+    struct Outcomes {
+        uint32_t answers = 0;
+        uint32_t failures = 0;
+    };
+
+    std::vector<Outcomes> m_outcomes; ///< Since the last report.
     std::vector<EngineUse> m_own;
     std::vector<EngineUse> m_reported;
     std::vector<EngineUse> m_others;
--- a/modules/borageslip_experiment/run/PolicyExperiment.cpp
+++ b/modules/borageslip_experiment/run/PolicyExperiment.cpp
@@ -211,6 +211,8 @@
 {
     // The others replace what they knew of this instance; sums are kept per receiver, so the difference is applied.
     for (size_t receiver = 0; receiver < m_instances.size(); ++receiver) {
+        if (receiver != index)
+            m_instances[receiver].takeOutcomes(m_instances[index], now());
         auto& sums = m_instances[receiver].othersUse();
         for (size_t engine = 0; engine < sums.size() && receiver != index; ++engine) {
             sums[engine].inFlight += m_instances[index].ownUse()[engine].inFlight - m_instances[index].reportedUse()[engine].inFlight;
@@ -285,7 +287,7 @@
     request.engine = index;
     request.sentAt = m_now;
     if (engine.isFailing && draw() < failureShare) {
-        instance.health.recordFailure(hash, now(), now());
+        instance.noteFailure(index, now());
         afterFailure(request);
         return true;
     }
@@ -394,7 +396,7 @@
         request.hasAnswered = true;
         request.firstToken = m_now;
         noteRead(request);
-        m_instances[request.instance].health.recordAnswer(InstanceModel::hashOf(request.engine), m_now - request.sentAt, timePoint(request.sentAt), now());
+        m_instances[request.instance].noteAnswer(request.engine, m_now - request.sentAt, timePoint(request.sentAt), now());
     }
     if (!item.isFinished)
         return;
--- a/modules/borageslip_routing/health/EngineEjector.cpp
+++ b/modules/borageslip_routing/health/EngineEjector.cpp
@@ -41,6 +41,16 @@
     state.latencies.at(indexOf(evidence.workClass)).record(evidence.timeToFirstToken, now);
 }
 
+void EngineEjector::recordElsewhere(EngineHash engine, uint32_t successes, uint32_t failures, TimePoint now)
+{
+    constexpr Duration reportDelay = std::chrono::seconds(1);
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end() || now - found->second.lastChange < reportDelay)
+        return;
+    found->second.successes += successes;
+    found->second.failures += failures;
+}
+
 std::vector<WeightChange> EngineEjector::evaluate(TimePoint now)
 {
     const auto medians = fleetMedians(now);
--- a/modules/borageslip_routing/health/EngineEjector.h
+++ b/modules/borageslip_routing/health/EngineEjector.h
@@ -65,6 +65,10 @@
 
     void record(EngineHash, const EngineEvidence&, TimePoint now);
 
+    /** Records requests that other routers sent to an engine; nothing is known of their latencies. Counts that come less
+        than a second after a change of its weight may be of requests before it, and are ignored. */
+    void recordElsewhere(EngineHash, uint32_t successes, uint32_t failures, TimePoint now);
+
     /** Median of the medians of the engines known here, and how many have enough samples. */
     struct OwnMedian {
         Duration median {};
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -361,13 +361,21 @@
     return m_engine.servers().health(m_admitted.service);
 }
 
+void Exchange::noteFailure(const AttemptState& state)
+{
+    state.server->countFailure();
+    health().recordFailure(state.server->hash(), state.sentAt, m_engine.clock().now());
+}
+
 void Exchange::noteAnswer(const AttemptState& state, unsigned status)
 {
     const auto now = m_engine.clock().now();
-    if (status / 100 == 5)
-        health().recordFailure(state.server->hash(), state.sentAt, now);
-    else
-        health().recordAnswer(state.server->hash(), now - state.sentAt, state.sentAt, now);
+    if (status / 100 == 5) {
+        noteFailure(state);
+        return;
+    }
+    state.server->countAnswer();
+    health().recordAnswer(state.server->hash(), now - state.sentAt, state.sentAt, now);
 }
 
 bool Exchange::mayRetryFailure(unsigned status)
@@ -408,7 +416,7 @@
     m_lastError = { ErrorKind::ServiceFailed, std::string(reason) };
     if (m_stop == Stop::None) {
         state.server->recordFailure();
-        health().recordFailure(state.server->hash(), state.sentAt, m_engine.clock().now());
+        noteFailure(state);
         logEvent(Severity::Warning, "answer-lost", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "reason", reason } });
     }
     return AttemptEnd::Lost;
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -76,6 +76,7 @@
     bool takeRetry();
     ServerHealth& health();
     void noteAnswer(const AttemptState&, unsigned status);
+    void noteFailure(const AttemptState&);
     std::string handoverHead(const BackendServer&) const;
     bool isAnswerOwn(const AttemptState&, const AnswerFacts&) const;
     bool mayRetryFailure(unsigned status);
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -188,6 +188,14 @@
     average = average == Duration::zero() ? duration : average + (duration - average) / smoothing;
 }
 
+void TrafficEngine::recordElsewhere(std::span<const ServerOutcomes> outcomes)
+{
+    for (const auto& row : outcomes) {
+        if (const auto server = m_servers.ofHash(row.server))
+            m_servers.health(server->description().service).recordElsewhere(row.server, row.answers, row.failures, m_clock.now());
+    }
+}
+
 void TrafficEngine::placeFreed(const std::string& service)
 {
     stateOf(service).waitingRoom.wakeFirst();
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -6,6 +6,7 @@
 #include "../limits/UrgentReserve.h"
 #include "../limits/WaitingRoom.h"
 #include "../metrics/TrafficCounts.h"
+#include "../peers/PeerReport.h"
 #include "../placement/ServerChoice.h"
 #include "../protocol/CallerProtocol.h"
 #include "../servers/ServerTable.h"
@@ -92,6 +93,9 @@
     Duration serviceTime(const std::string& service) { return stateOf(service).serviceTime; }
     void recordServiceTime(const std::string& service, Duration);
 
+    /** Judges backend servers also by what another instance has seen of them. */
+    void recordElsewhere(std::span<const ServerOutcomes>);
+
     /** To be called when a request at a backend server has ended. */
     void placeFreed(const std::string& service);
 
--- a/modules/borageslip_traffic/peers/PeerBoard.cpp
+++ b/modules/borageslip_traffic/peers/PeerBoard.cpp
@@ -5,18 +5,32 @@
 
 namespace borageslip {
 
-void PeerBoard::apply(PeerReport report, TimePoint now)
+std::vector<ServerOutcomes> PeerBoard::takeOutcomes(Entry& entry)
 {
-    const auto found = m_entries.find(report.sender);
-    if (found == m_entries.end()) {
-        auto sender = report.sender;
-        m_entries.emplace(std::move(sender), Entry { std::move(report), now });
-        return;
+    std::vector<ServerOutcomes> news;
+    for (const auto& row : entry.report.outcomes) {
+        const auto [found, isNew] = entry.outcomes.try_emplace(row.server, row);
+        auto& known = found->second;
+        // The first totals of a server may be of long ago; lower ones belong to its next incarnation.
+        if (!isNew && row.answers >= known.answers && row.failures >= known.failures)
+            news.push_back({ row.server, row.answers - known.answers, row.failures - known.failures });
+        known = row;
     }
-    const auto& known = found->second.report;
-    const bool isNewer = std::tuple(report.incarnation, report.sequence) > std::tuple(known.incarnation, known.sequence);
-    if (isNewer)
-        found->second = { std::move(report), now };
+    return news;
+}
+
+std::vector<ServerOutcomes> PeerBoard::apply(PeerReport report, TimePoint now)
+{
+    auto& entry = m_entries[report.sender];
+    const auto& known = entry.report;
+    const bool isNewer = known.sender.empty() || std::tuple(report.incarnation, report.sequence) > std::tuple(known.incarnation, known.sequence);
+    if (!isNewer)
+        return {};
+    if (report.incarnation != known.incarnation)
+        entry.outcomes.clear();
+    entry.report = std::move(report);
+    entry.heardAt = now;
+    return takeOutcomes(entry);
 }
 
 std::unordered_map<uint64_t, ServerUse> PeerBoard::uses(TimePoint now) const
--- a/modules/borageslip_traffic/peers/PeerBoard.h
+++ b/modules/borageslip_traffic/peers/PeerBoard.h
@@ -20,8 +20,9 @@
     {
     }
 
-    /** Takes a report unless a newer one of its sender is known. */
-    void apply(PeerReport, TimePoint now);
+    /** Takes a report unless a newer one of its sender is known.
+        @return the outcomes that are new since the sender's last report of each server. */
+    std::vector<ServerOutcomes> apply(PeerReport, TimePoint now);
 
     /** Sum of what the other instances use, by backend server. */
     std::unordered_map<uint64_t, ServerUse> uses(TimePoint now) const;
@@ -42,8 +43,11 @@
     struct Entry {
         PeerReport report;
         TimePoint heardAt {};
+        std::unordered_map<uint64_t, ServerOutcomes> outcomes {}; ///< Totals as the sender last stated them.
     };
 
+    static std::vector<ServerOutcomes> takeOutcomes(Entry&);
+
     Duration m_lifetime;
     std::map<std::string, Entry, std::less<>> m_entries;
 };
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -20,6 +20,7 @@
     constexpr Duration shortestInterval = milliseconds(100);
     constexpr Duration intervalPerMember = milliseconds(12);
     constexpr int lostReportsBeforeSilent = 8;
+    constexpr int repeatedReports = 4; ///< In which a server's outcomes stand after a change, since datagrams get lost.
     constexpr Duration shortestLifetime = milliseconds(1200);
     constexpr size_t maxDatagram = 8 * 1024;
 
@@ -121,7 +122,8 @@
             logEvent(Severity::Warning, "peer-report-invalid", { { "detail", error(report).detail } });
             continue;
         }
-        m_board.apply(value(std::move(report)), m_engine.clock().now());
+        const auto news = m_board.apply(value(std::move(report)), m_engine.clock().now());
+        m_engine.recordElsewhere(news);
     }
 }
 
@@ -138,10 +140,14 @@
 
 void PeerLink::sendReports()
 {
-    PeerReport report { m_ownName, m_incarnation, ++m_sequence, m_takesCallers, {} };
+    const auto now = m_engine.clock().now();
+    PeerReport report { m_ownName, m_incarnation, ++m_sequence, m_takesCallers, {}, {} };
     for (const auto& [id, server] : m_engine.servers().all()) {
         if (server->ownInFlight() > 0)
             report.uses.push_back({ server->hash(), static_cast<uint32_t>(server->ownInFlight()), static_cast<uint64_t>(server->ownPendingPrefill()) });
+        const auto& outcomes = server->outcomes();
+        if (now - outcomes.changedAt < interval() * repeatedReports)
+            report.outcomes.push_back({ server->hash(), outcomes.answers, outcomes.failures });
     }
     const auto bytes = encodePeerReport(report);
     for (const auto& [name, listed] : m_members) {
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -11,6 +11,11 @@
     // Distinguishes this format from a later one.
     constexpr int formatVersion = 1;
 
+    bool isTriple(const nlohmann::json& row)
+    {
+        return row.is_array() && row.size() == 3 && std::all_of(row.begin(), row.end(), [](const auto& number) { return number.is_number_unsigned(); });
+    }
+
 }
 
 std::vector<uint8_t> encodePeerReport(const PeerReport& report)
@@ -18,7 +23,10 @@
     auto uses = nlohmann::json::array();
     for (const auto& use : report.uses)
         uses.push_back({ use.server, use.inFlight, use.pendingPrefill });
-    return nlohmann::json::to_cbor(nlohmann::json::array({ formatVersion, report.sender, report.incarnation, report.sequence, report.takesCallers, std::move(uses) }));
+    auto outcomes = nlohmann::json::array();
+    for (const auto& row : report.outcomes)
+        outcomes.push_back({ row.server, row.answers, row.failures });
+    return nlohmann::json::to_cbor(nlohmann::json::array({ formatVersion, report.sender, report.incarnation, report.sequence, report.takesCallers, std::move(uses), std::move(outcomes) }));
 }
 
 Result<PeerReport> decodePeerReport(std::span<const uint8_t> bytes)
@@ -32,11 +40,20 @@
         return malformed;
     PeerReport report { document[1], document[2], document[3], document[4], {} };
     for (const auto& use : document[5]) {
-        const bool isUse = use.is_array() && use.size() == 3 && std::all_of(use.begin(), use.end(), [](const auto& number) { return number.is_number_unsigned(); });
-        if (!isUse)
+        if (!isTriple(use))
             return malformed;
         report.uses.push_back({ use[0], use[1], use[2] });
     }
+    // Instances of earlier releases end their report here.
+    if (document.size() == 6)
+        return report;
+    if (!document[6].is_array())
+        return malformed;
+    for (const auto& row : document[6]) {
+        if (!isTriple(row))
+            return malformed;
+        report.outcomes.push_back({ row[0], row[1], row[2] });
+    }
     return report;
 }
 
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -18,6 +18,15 @@
     bool operator==(const ServerUse&) const = default;
 };
 
+/** How the requests of one instance at one backend server have ended since the instance knows the server. */
+struct ServerOutcomes {
+    uint64_t server = 0; ///< Hash of its identity.
+    uint32_t answers = 0;
+    uint32_t failures = 0;
+
+    bool operator==(const ServerOutcomes&) const = default;
+};
+
 /** What an instance tells the others, in one datagram. */
 struct PeerReport {
     std::string sender;
@@ -25,6 +34,7 @@
     uint64_t sequence = 0;
     bool takesCallers = false; ///< Whether callers may be sent to it.
     std::vector<ServerUse> uses; ///< Backend servers at which it has requests.
+    std::vector<ServerOutcomes> outcomes {}; ///< Of the servers at which requests have ended lately.
 
     bool operator==(const PeerReport&) const = default;
 };
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -68,6 +68,16 @@
         has probably read them. */
     bool notePrefix(uint64_t affinity);
 
+    /** Requests of this instance that it answered, and that failed there, since it is known. */
+    struct Outcomes {
+        uint32_t answers = 0;
+        uint32_t failures = 0;
+        TimePoint changedAt {};
+    };
+    const Outcomes& outcomes() const { return m_outcomes; }
+    void countAnswer() { m_outcomes = { m_outcomes.answers + 1, m_outcomes.failures, m_clock.now() }; }
+    void countFailure() { m_outcomes = { m_outcomes.answers, m_outcomes.failures + 1, m_clock.now() }; }
+
     void recordSuccess();
 
     /** Records that it broke off an answer, and ejects it when that repeats. */
@@ -89,6 +99,7 @@
     int64_t m_ownPendingPrefill = 0;
     int64_t m_peersPendingPrefill = 0;
     LruTable<char> m_prefixes; ///< Beginnings of prompts that were sent to it; the values are not used.
+    Outcomes m_outcomes;
     int m_consecutiveFailures = 0;
     TimePoint m_coldUntil {};
     TimePoint m_ejectedUntil {};
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -42,6 +42,7 @@
     auto server = std::make_shared<BackendServer>(std::move(description), m_clock, m_executor);
     m_servers.emplace(server->description().id, server);
     m_health[server->description().service].add(server->hash());
+    m_ofHash.insert_or_assign(server->hash(), server);
     m_ofService[server->description().service].push_back(std::move(server));
 }
 
@@ -55,6 +56,7 @@
     m_lapsedUntil.erase(std::string(id));
     server->remove();
     m_health[server->description().service].remove(server->hash());
+    m_ofHash.erase(server->hash());
     std::erase(m_ofService[server->description().service], server);
     m_servers.erase(found);
 }
@@ -83,6 +85,12 @@
     return found == m_ofService.end() ? std::span<const BackendServerPtr>() : std::span<const BackendServerPtr>(found->second);
 }
 
+BackendServerPtr ServerTable::ofHash(uint64_t hash) const
+{
+    const auto found = m_ofHash.find(hash);
+    return found == m_ofHash.end() ? nullptr : found->second;
+}
+
 void ServerTable::evaluateHealth()
 {
     for (auto& [service, health] : m_health) {
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <span>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace borageslip {
@@ -32,6 +33,9 @@
     std::span<const BackendServerPtr> ofService(std::string_view service) const;
     const std::map<std::string, BackendServerPtr, std::less<>>& all() const { return m_servers; }
 
+    /** Returns null for an unknown hash. */
+    BackendServerPtr ofHash(uint64_t hash) const;
+
     /** Health of the servers of one service, by their hashes. */
     ServerHealth& health(const std::string& service) { return m_health[service]; }
 
@@ -44,6 +48,7 @@
     boost::asio::any_io_executor m_executor;
     std::map<std::string, BackendServerPtr, std::less<>> m_servers;
     std::map<std::string, std::vector<BackendServerPtr>, std::less<>> m_ofService;
+    std::unordered_map<uint64_t, BackendServerPtr> m_ofHash;
     std::map<std::string, ServerHealth, std::less<>> m_health;
     std::map<std::string, TimePoint, std::less<>> m_lapsedUntil; ///< Backend servers whose entries are missing.
 };
--- a/tests/borageslip_traffic/PolicyTests.cpp
+++ b/tests/borageslip_traffic/PolicyTests.cpp
@@ -142,9 +142,32 @@
     CHECK(filter.lastEventId() == "3");
 }
 
+TEST_CASE("a report of an earlier release, without outcomes, is read")
+{
+    const auto bytes = nlohmann::json::to_cbor(nlohmann::json::array({ 1, "entry-1", 12, 34, true, nlohmann::json::array() }));
+    const auto decoded = decodePeerReport(bytes);
+    REQUIRE(isOk(decoded));
+    CHECK(value(decoded).outcomes.empty());
+}
+
+TEST_CASE("outcomes that a peer reports count once, whatever reports are lost or repeated")
+{
+    PeerBoard board(1s);
+    const TimePoint now = TimePoint() + 1h;
+    const auto report = [](uint64_t incarnation, uint64_t sequence, uint32_t answers, uint32_t failures) {
+        return PeerReport { "entry-1", incarnation, sequence, true, {}, { { 7, answers, failures } } };
+    };
+    CHECK(board.apply(report(1, 1, 500, 2), now).empty()); // What came before this instance knew the peer.
+    CHECK(board.apply(report(1, 3, 504, 3), now) == std::vector<ServerOutcomes> { { 7, 4, 1 } });
+    CHECK(board.apply(report(1, 2, 502, 2), now).empty()); // Overtaken.
+    CHECK(board.apply(report(1, 4, 504, 3), now) == std::vector<ServerOutcomes> { { 7, 0, 0 } });
+    CHECK(board.apply(report(2, 1, 9, 9), now).empty()); // A new process counts from zero.
+    CHECK(board.apply(report(2, 2, 10, 9), now) == std::vector<ServerOutcomes> { { 7, 1, 0 } });
+}
+
 TEST_CASE("a peer's report survives its encoding, and bytes that are none are refused")
 {
-    const PeerReport report { "entry-1", 12, 34, true, { { 0xfeedfacecafebeefU, 7, 9000 }, { 1, 2, 0 } } };
+    const PeerReport report { "entry-1", 12, 34, true, { { 0xfeedfacecafebeefU, 7, 9000 }, { 1, 2, 0 } }, { { 1, 30, 4 } } };
     const auto bytes = encodePeerReport(report);
     const auto decoded = decodePeerReport(bytes);
     REQUIRE(isOk(decoded));
--- a/tests/borageslip_traffic/ServerHealthTests.cpp
+++ b/tests/borageslip_traffic/ServerHealthTests.cpp
@@ -96,6 +96,20 @@
     CHECK(traffic.share(2) == 1);
 }
 
+TEST_CASE("what other instances have seen finds a failing server that this one hardly uses")
+{
+    Traffic traffic(4);
+    for (int second = 0; second < 5; ++second) {
+        for (uint64_t server = 1; server <= 4; ++server)
+            traffic.health.recordElsewhere(server, server == 2 ? 3 : 6, server == 2 ? 3 : 0, traffic.now);
+        traffic.now += 1s;
+        traffic.health.evaluate(traffic.now);
+    }
+    traffic.health.recordSend(2, traffic.now);
+    CHECK(traffic.share(2) == 0);
+    CHECK(traffic.share(1) == 1);
+}
+
 TEST_CASE("a rare failure lowers nobody")
 {
     Traffic traffic(4);
