--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -92,10 +92,11 @@
 {
     if (m_stop != Stop::None)
         return;
-    ++m_engine.counts().callersGone;
     const bool isLeftToFinish = m_connection && m_admitted.route != nullptr && route().kind == RequestKind::AtMostOnce;
-    if (!isLeftToFinish)
-        stop(Stop::CallerLeft);
+    if (isLeftToFinish)
+        return;
+    countOutcome(&TrafficCounts::callersGone);
+    stop(Stop::CallerLeft);
 }
 
 asio::awaitable<void> Exchange::serve()
@@ -150,6 +151,13 @@
     co_return co_await waitInQueue();
 }
 
+void Exchange::countOutcome(uint64_t TrafficCounts::*counter)
+{
+    // A caller may leave while its answer is being written.
+    if (!std::exchange(m_hasOutcome, true))
+        ++(m_engine.counts().*counter);
+}
+
 void Exchange::noteWait(TimePoint since)
 {
     const auto waited = m_engine.clock().now() - since;
@@ -461,7 +469,7 @@
     }
     if (isTaken) {
         co_await m_sink.end();
-        ++m_engine.counts().answered;
+        countOutcome(&TrafficCounts::answered);
         m_engine.recordServiceTime(m_admitted.service, m_engine.clock().now() - state.sentAt);
     }
     state.chart.fire(AttemptEvent::Finish);
@@ -469,7 +477,7 @@
         release(state, reader);
     else
         state.connection->close();
-    co_return AttemptEnd::Delivered;
+    co_return isTaken ? AttemptEnd::Delivered : AttemptEnd::Ended;
 }
 
 asio::awaitable<Exchange::AttemptEnd> Exchange::deliverStream(AttemptState& state, AnswerReader& reader)
@@ -506,7 +514,7 @@
     state.chart.fire(AttemptEvent::Finish);
     state.server->recordSuccess();
     release(state, reader);
-    ++m_engine.counts().answered;
+    countOutcome(&TrafficCounts::answered);
     co_return AttemptEnd::Delivered;
 }
 
@@ -519,13 +527,14 @@
 asio::awaitable<void> Exchange::conclude(Error failure)
 {
     if (m_stop == Stop::CallerLeft || m_sink.isCallerGone()) {
+        countOutcome(&TrafficCounts::callersGone);
         logOutcome(Severity::Info, "caller-left", "cancelled", m_lastError.detail);
         co_return;
     }
     if (m_stop == Stop::DeadlinePassed)
         failure = { m_mayHaveRun ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineBeforeStart, "the time limit has passed" };
     if (m_sink.hasBegun()) {
-        ++m_engine.counts().failed;
+        countOutcome(&TrafficCounts::failed);
         logOutcome(Severity::Warning, "broken-off", errorTraits(failure.kind).name, failure.detail);
         m_sink.abort();
         co_return;
@@ -533,7 +542,7 @@
     if (m_mayHaveRun && !failure.mayHaveRun())
         failure = { ErrorKind::ServiceFailed, failure.detail };
     BORAGESLIP_INVARIANT(!m_mayHaveRun || failure.mayHaveRun(), "I3", "a request that may have run is refused as not run");
-    ++(failure.mayHaveRun() ? m_engine.counts().failed : m_engine.counts().refused);
+    countOutcome(failure.mayHaveRun() ? &TrafficCounts::failed : &TrafficCounts::refused);
     if (!failure.mayHaveRun() && failure.isRetryable())
         failure.retryAfter = m_engine.retryAfter(m_admitted.route != nullptr ? timeLeft() : m_facts.timeLeft.value_or(milliseconds(0)));
     logOutcome(Severity::Warning, "refused", errorTraits(failure.kind).name, failure.detail);
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -72,6 +72,7 @@
 
     BackendServerPtr choose();
     QueuedRequest queuedRequest() const;
+    void countOutcome(uint64_t TrafficCounts::*);
     void noteWait(TimePoint since);
     bool takeRetry();
     ServerHealth& health();
@@ -105,7 +106,8 @@
     int m_sends = 0;
     bool m_hasRetryGrant = false; ///< A repeat has been taken from the budget and not been used yet.
     bool m_mayHaveRun = false;
-    Error m_lastError { ErrorKind::NoEngineAvailable, "no backend server" };
+    bool m_hasOutcome = false; ///< It has been counted how the request ended.
+    Error m_lastError { ErrorKind::NoEngineAvailable, "" };
     EventFilter m_events;
 };
 
--- a/modules/borageslip_traffic/limits/RequestQueue.h
+++ b/modules/borageslip_traffic/limits/RequestQueue.h
@@ -11,7 +11,8 @@
     int account = 0;
     int route = 0;
 
-    auto operator<=>(const Urgency&) const = default;
+    // clang-tidy 14 takes the zero in rewritten comparisons for a null pointer.
+    auto operator<=>(const Urgency&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** The requests that wait for places of one service: by urgency, then fair among client accounts, then by the time left.
