--- a/modules/borageslip_experiment/model/EngineModel.cpp
+++ b/modules/borageslip_experiment/model/EngineModel.cpp
@@ -75,10 +75,10 @@
 void EngineModel::fillSlots()
 {
     while (!m_waiting.empty() && m_running.size() < static_cast<size_t>(m_settings.slots)) {
-        auto sequence = std::move(m_waiting.front());
+        auto sequence = m_waiting.front();
         m_waiting.pop_front();
         prepare(sequence);
-        m_running.push_back(std::move(sequence));
+        m_running.push_back(sequence);
     }
 }
 
@@ -127,7 +127,7 @@
         m_cached.pop_front();
     }
     while (memoryUsed() > m_settings.cacheTokens && m_running.size() > 1) {
-        auto youngest = std::move(m_running.back());
+        auto youngest = m_running.back();
         m_running.pop_back();
         ++m_counts.preemptions;
         // What it has generated is part of what has to be read again.
@@ -137,7 +137,7 @@
         youngest.wasPreempted = true;
         youngest.generated = 0;
         youngest.read = 0;
-        m_waiting.push_front(std::move(youngest));
+        m_waiting.push_front(youngest);
     }
 }
 
--- a/tests/borageslip_traffic/ExchangeExplorationTests.cpp
+++ b/tests/borageslip_traffic/ExchangeExplorationTests.cpp
@@ -229,7 +229,7 @@
     bool isResumable = false;
 };
 
-const std::vector<KindRow> kinds {
+const std::vector<KindRow> s_kinds {
     { "repeat1", RequestKind::Idempotent, 1 },
     { "repeat2", RequestKind::Idempotent, 2 },
     { "repeat3", RequestKind::Idempotent, 3 },
@@ -263,7 +263,7 @@
     {
         TrafficConfigurationBuilder builder;
         builder.setVersion(1).addService({ "pool" });
-        for (const auto& row : kinds)
+        for (const auto& row : s_kinds)
             builder.addRoute(routeOf(row));
         m_engine.setConfiguration(std::make_shared<const TrafficConfiguration>(value(builder.build())));
         for (int i = 0; i < 4; ++i)
@@ -274,7 +274,7 @@
 
     size_t run()
     {
-        for (const auto& row : kinds) {
+        for (const auto& row : s_kinds) {
             for (const auto& script : allScripts())
                 m_cases.emplace_back(&row, script);
         }
@@ -392,17 +392,17 @@
 TEST_CASE("whatever three servers do with a request, it runs as often as allowed and gets one true answer")
 {
     initialiseLog(Severity::Error, "tests");
-    CHECK(Explorer(1e9, false).run() == kinds.size() * 729);
+    CHECK(Explorer(1e9, false).run() == s_kinds.size() * 729);
 }
 
 TEST_CASE("the same holds while some servers cannot be reached")
 {
     initialiseLog(Severity::Error, "tests");
-    CHECK(Explorer(1e9, true).run() == kinds.size() * 729);
+    CHECK(Explorer(1e9, true).run() == s_kinds.size() * 729);
 }
 
 TEST_CASE("the same holds when no repeated sends are left")
 {
     initialiseLog(Severity::Error, "tests");
-    CHECK(Explorer(0, true).run() == kinds.size() * 729);
+    CHECK(Explorer(0, true).run() == s_kinds.size() * 729);
 }
--- a/tests/borageslip_traffic/WaitingTests.cpp
+++ b/tests/borageslip_traffic/WaitingTests.cpp
@@ -1,5 +1,6 @@
 #include <borageslip_traffic/borageslip_traffic.h>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <map>
@@ -9,7 +10,7 @@
 
 namespace {
 
-const TimePoint start {};
+constexpr TimePoint start {};
 
 QueuedRequest waiting(const std::string& id, const std::string& account, Duration deadline = 1s, double cost = 1)
 {
