--- a/tests/borageslip_traffic/ExchangeExplorationTests.cpp
+++ b/tests/borageslip_traffic/ExchangeExplorationTests.cpp
@@ -357,6 +357,10 @@
         CHECK(sink.begins <= 1);
         CHECK((sink.refusals.empty() || sink.begins == 0));
 
+        // A sound answer to the first send reaches the caller; a short time limit may pass before it.
+        if (script.front() == 'O' && script.find('S') == std::string::npos)
+            CHECK((sink.ends == 1 && sink.status == 200 && seen.runs == 1));
+
         // At most once, and no more servers than the route allows; a misdirected send has not reached the one meant.
         const auto misdirected = std::count(script.begin(), script.begin() + std::min<std::ptrdiff_t>(seen.arrivals, 3), 'M');
         CHECK(seen.arrivals - misdirected <= row.maxAttempts);
