Keep the measurement of an instance's cost beside its stand-ins

tools/entry_cost.py used the platform's field names outside platform/ and its tests, and reached into tests/platform for its stand-ins.

--- a/tools/entry_cost.py
+++ b/tests/platform/entry_cost.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
 """Measures what one borageslip-entry costs: time from its start until it is ready, processor time of a request and of a
-streamed event, and resident memory. Runs against the stand-ins of tests/platform on loopback.
+streamed event, and resident memory. Runs against the stand-ins beside it on loopback.
 
 The processor time is that of the process alone over its life, as the kernel counts it, so that the speed of the stand-ins
 does not matter; that of an idle process over the same time is subtracted, its start included.
@@ -10,13 +10,12 @@
 import json
 import pathlib
 import resource
-import sys
 import tempfile
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "tests" / "platform"))
-from entry_test import Entry, read_answer, request  # noqa: E402
-from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
+from entry_test import Entry, read_answer, request
+from platform_standin import BackendServer, Store, configuration, start_server
+
 
 def resident_megabytes(pid):
     line = next(line for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines() if line.startswith("VmRSS"))
@@ -107,4 +106,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    raise SystemExit(main())
