Record a server's outcomes in one place, and hash a request once

Change: ServerTable records sends, answers, failures and what others have seen. The hashes are part of AdmittedRequest, the reserve is decided once for each choice, TrafficEngine::callerLimits() serves the callers' sessions, AnswerSource reads an answer from its connection, PromptMemory remembers beginnings of prompts, rows of metrics are built by one function.

--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -100,7 +100,7 @@
 
 asio::awaitable<bool> CallerSession::serveRequest()
 {
-    const auto idleLimit = m_engine.configuration() ? m_engine.configuration()->limits().idleTimeout : CallerLimits().idleTimeout;
+    const auto idleLimit = m_engine.callerLimits().idleTimeout;
     while (m_inbox.empty()) {
         if (m_isGone || (m_isDraining && m_hasServed))
             co_return false;
@@ -109,7 +109,7 @@
             co_return false;
     }
     const auto arrivedAt = m_engine.clock().now();
-    const auto limits = m_engine.configuration() ? m_engine.configuration()->limits() : CallerLimits();
+    const auto limits = m_engine.callerLimits();
     RequestReader reader(limits.maxHeaderBytes, limits.maxBodyBytes);
     m_hasBegun = false;
     m_keepsConnection = true;
@@ -128,7 +128,7 @@
 
 asio::awaitable<bool> CallerSession::receiveRequest(RequestReader& reader, TimePoint arrivedAt)
 {
-    const auto limits = m_engine.configuration() ? m_engine.configuration()->limits() : CallerLimits();
+    const auto limits = m_engine.callerLimits();
     bool hasSentContinue = false;
     while (true) {
         const auto fed = reader.feed(m_inbox);
--- /dev/null
+++ b/modules/borageslip_traffic/engine/AnswerSource.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "../http/HttpMessages.h"
+#include "../net/ServerConnection.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <span>
+
+namespace borageslip {
+
+/** Reads one answer from a backend server's connection as it arrives.
+
+    The calls return false when the connection was lost or what it carried is no answer. Call it from the event loop; the
+    connection must outlive it. */
+class AnswerSource {
+public:
+    /** @param scratch buffer for bytes that are parsed at once. */
+    AnswerSource(ServerConnection&, std::span<char> scratch, AnswerReader::Body);
+
+    AnswerReader& reader() { return m_reader; }
+    const AnswerReader& reader() const { return m_reader; }
+
+    boost::asio::awaitable<bool> readHead();
+    boost::asio::awaitable<bool> readMore();
+    boost::asio::awaitable<bool> readToEnd();
+
+private:
+    ServerConnection& m_connection;
+    std::span<char> m_scratch;
+    AnswerReader m_reader;
+};
+
+}
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -25,12 +25,6 @@
     constexpr int maxForeignAnswers = 2; ///< Answers to other requests that are passed over on one connection.
     constexpr size_t maxBufferedAnswer = 256 * 1024; ///< Bytes; a longer answer is passed on while it arrives.
     constexpr size_t maxInlineRequest = 4 * 1024; ///< Bytes; a longer body is written while the answer is awaited.
-    constexpr Duration queueInterval = milliseconds(20); ///< Loads of other instances change without a notification.
-
-    milliseconds toMilliseconds(Duration duration)
-    {
-        return std::chrono::duration_cast<milliseconds>(duration);
-    }
 
 }
 
@@ -134,7 +128,7 @@
 
 BackendServerPtr Exchange::choose()
 {
-    return m_engine.choose(m_admitted, m_facts, m_tried);
+    return m_engine.choose(m_admitted, m_tried);
 }
 
 asio::awaitable<Result<BackendServerPtr>> Exchange::awaitServer()
@@ -199,7 +193,7 @@
         const auto left = giveUpAt - m_engine.clock().now();
         if (left <= Duration::zero())
             break;
-        co_await m_placeSignal.waitFor(std::min<Duration>(left, queueInterval));
+        co_await m_placeSignal.waitFor(std::min<Duration>(left, queueCheckInterval));
     }
     noteWait(queuedAt);
     co_return overloaded;
@@ -264,7 +258,7 @@
 {
     state.chart.fire(AttemptEvent::Send);
     state.sentAt = m_engine.clock().now();
-    health().recordSend(state.server->hash(), state.sentAt);
+    m_engine.servers().recordSend(*state.server);
     auto head = handoverHead(*state.server);
     // A backend server may answer before it has read a long body, and read on later.
     if (head.size() + m_request.body().size() > maxInlineRequest)
@@ -274,47 +268,6 @@
     co_return co_await receive(state);
 }
 
-asio::awaitable<bool> Exchange::readMore(AttemptState& state, AnswerReader& reader)
-{
-    auto& connection = *state.connection;
-    boost::system::error_code failure;
-    co_await connection.socket.async_wait(asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, failure));
-    if (failure || !connection.socket.is_open())
-        co_return false;
-    const auto scratch = m_engine.scratch();
-    const auto count = connection.socket.read_some(asio::buffer(scratch.data(), scratch.size()), failure);
-    if (failure == asio::error::would_block)
-        co_return true;
-    if (failure == asio::error::eof)
-        co_return isOk(reader.endOfInput()) && reader.isDone();
-    if (failure)
-        co_return false;
-    connection.unread.append(scratch.data(), count);
-    co_return isOk(reader.feed(connection.unread));
-}
-
-asio::awaitable<bool> Exchange::readToEnd(AttemptState& state, AnswerReader& reader)
-{
-    while (!reader.isDone()) {
-        const bool isOpen = co_await readMore(state, reader);
-        if (!isOpen)
-            co_return false;
-    }
-    co_return true;
-}
-
-asio::awaitable<bool> Exchange::receiveHead(AttemptState& state, AnswerReader& reader)
-{
-    if (!isOk(reader.feed(state.connection->unread)))
-        co_return false;
-    while (!reader.hasHead()) {
-        const bool isOpen = co_await readMore(state, reader);
-        if (!isOpen)
-            co_return false;
-    }
-    co_return true;
-}
-
 bool Exchange::isAnswerOwn(const AttemptState& state, const AnswerFacts& facts) const
 {
     if (!facts.requestId.empty())
@@ -326,17 +279,18 @@
 asio::awaitable<Exchange::AttemptEnd> Exchange::receive(AttemptState& state)
 {
     const auto bodyKind = m_request.method() == boost::beast::http::verb::head ? AnswerReader::Body::None : AnswerReader::Body::Expected;
-    std::optional<detail::PendingPrefill> prefill(std::in_place, state.server, m_engine.uncachedTokens(*state.server, m_facts));
+    std::optional<detail::PendingPrefill> prefill(std::in_place, state.server, m_engine.uncachedTokens(*state.server, m_admitted, m_facts));
     for (int foreign = 0; foreign <= maxForeignAnswers; ++foreign) {
-        AnswerReader reader(bodyKind);
-        const bool hasHead = co_await receiveHead(state, reader);
+        AnswerSource source(*state.connection, m_engine.scratch(), bodyKind);
+        const auto& reader = source.reader();
+        const bool hasHead = co_await source.readHead();
         prefill.reset();
         if (!hasHead)
             co_return lost(state, "connection lost before an answer");
         const auto facts = m_engine.protocol().answerFacts(reader.head().result_int(), reader.head());
         if (!isAnswerOwn(state, facts)) {
             logEvent(Severity::Warning, "foreign-answer", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "answer", facts.requestId } });
-            const bool isWhole = co_await readToEnd(state, reader);
+            const bool isWhole = co_await source.readToEnd();
             if (!isWhole || reader.framing() == BodyFraming::UntilClose)
                 co_return lost(state, "connection lost after an answer to another request");
             continue;
@@ -346,7 +300,7 @@
         if (facts.isMisdirected)
             co_return misdirected(state);
         if (facts.isNotRun)
-            co_return co_await refusedByServer(state, reader);
+            co_return co_await refusedByServer(state, source);
         noteAnswer(state, reader.head().result_int());
         const bool isSuccess = reader.head().result_int() / 100 == 2;
         if (!isSuccess && mayRetryFailure(reader.head().result_int())) {
@@ -358,32 +312,18 @@
         if (!isSuccess && m_sink.hasBegun())
             co_return lost(state, "failure of a resumed stream");
         if (isSuccess && route().kind == RequestKind::Stream)
-            co_return co_await deliverStream(state, reader);
-        co_return co_await deliverBuffered(state, reader);
+            co_return co_await deliverStream(state, source);
+        co_return co_await deliverBuffered(state, source);
     }
     co_return lost(state, "answers to other requests");
 }
 
-ServerHealth& Exchange::health()
-{
-    return m_engine.servers().health(m_admitted.service);
-}
-
-void Exchange::noteFailure(const AttemptState& state)
-{
-    state.server->countFailure();
-    health().recordFailure(state.server->hash(), state.sentAt, m_engine.clock().now());
-}
-
 void Exchange::noteAnswer(const AttemptState& state, unsigned status)
 {
-    const auto now = m_engine.clock().now();
-    if (status / 100 == 5) {
-        noteFailure(state);
-        return;
-    }
-    state.server->countAnswer();
-    health().recordAnswer(state.server->hash(), now - state.sentAt, state.sentAt, now);
+    if (status / 100 == 5)
+        m_engine.servers().recordFailure(*state.server, state.sentAt);
+    else
+        m_engine.servers().recordAnswer(*state.server, state.sentAt);
 }
 
 bool Exchange::mayRetryFailure(unsigned status)
@@ -406,14 +346,14 @@
     return takeRetry() ? AttemptEnd::NotSent : AttemptEnd::NotRun;
 }
 
-asio::awaitable<Exchange::AttemptEnd> Exchange::refusedByServer(AttemptState& state, AnswerReader& reader)
+asio::awaitable<Exchange::AttemptEnd> Exchange::refusedByServer(AttemptState& state, AnswerSource& source)
 {
     state.chart.fire(AttemptEvent::NotRun);
     m_lastError = { ErrorKind::EngineRefused, "the backend server did not take the request" };
-    logEvent(Severity::Info, "not-run", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "status", reader.head().result_int() } });
-    const bool isWhole = co_await readToEnd(state, reader);
+    logEvent(Severity::Info, "not-run", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "status", source.reader().head().result_int() } });
+    const bool isWhole = co_await source.readToEnd();
     if (isWhole)
-        release(state, reader);
+        release(state, source.reader());
     co_return AttemptEnd::NotRun;
 }
 
@@ -424,7 +364,7 @@
     m_lastError = { ErrorKind::ServiceFailed, std::string(reason) };
     if (m_stop == Stop::None) {
         state.server->recordFailure();
-        noteFailure(state);
+        m_engine.servers().recordFailure(*state.server, state.sentAt);
         logEvent(Severity::Warning, "answer-lost", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "reason", reason } });
     }
     return AttemptEnd::Lost;
@@ -444,11 +384,12 @@
     state.server->pool().giveBack(connection);
 }
 
-asio::awaitable<Exchange::AttemptEnd> Exchange::deliverBuffered(AttemptState& state, AnswerReader& reader)
+asio::awaitable<Exchange::AttemptEnd> Exchange::deliverBuffered(AttemptState& state, AnswerSource& source)
 {
+    auto& reader = source.reader();
     std::string body = reader.takeBody();
     while (!reader.isDone() && body.size() <= maxBufferedAnswer) {
-        const bool isOpen = co_await readMore(state, reader);
+        const bool isOpen = co_await source.readMore();
         if (!isOpen)
             co_return lost(state, "connection lost within the answer");
         body += reader.takeBody();
@@ -460,7 +401,7 @@
     co_await m_sink.begin(head, length);
     bool isTaken = co_await m_sink.write(body);
     while (isTaken && !reader.isDone()) {
-        const bool isOpen = co_await readMore(state, reader);
+        const bool isOpen = co_await source.readMore();
         if (!isOpen) {
             lost(state, "connection lost within a long answer");
             co_return AttemptEnd::Ended;
@@ -480,8 +421,9 @@
     co_return isTaken ? AttemptEnd::Delivered : AttemptEnd::Ended;
 }
 
-asio::awaitable<Exchange::AttemptEnd> Exchange::deliverStream(AttemptState& state, AnswerReader& reader)
+asio::awaitable<Exchange::AttemptEnd> Exchange::deliverStream(AttemptState& state, AnswerSource& source)
 {
+    auto& reader = source.reader();
     state.chart.fire(AttemptEvent::Event);
     if (!m_sink.hasBegun()) {
         HttpResponseHead head = reader.head();
@@ -502,7 +444,7 @@
         }
         if (reader.isDone())
             break;
-        const bool isOpen = co_await readMore(state, reader);
+        const bool isOpen = co_await source.readMore();
         if (!isOpen) {
             m_events.dropPartialEvent();
             co_return lost(state, "connection lost within a stream");
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AnswerSink.h"
+#include "AnswerSource.h"
 #include "EventFilter.h"
 #include "ExchangeRecord.h"
 #include "TrafficEngine.h"
@@ -60,12 +61,9 @@
     boost::asio::awaitable<AttemptEnd> attempt(BackendServerPtr);
     boost::asio::awaitable<AttemptEnd> send(AttemptState&);
     boost::asio::awaitable<AttemptEnd> receive(AttemptState&);
-    boost::asio::awaitable<bool> receiveHead(AttemptState&, AnswerReader&);
-    boost::asio::awaitable<AttemptEnd> refusedByServer(AttemptState&, AnswerReader&);
-    boost::asio::awaitable<AttemptEnd> deliverBuffered(AttemptState&, AnswerReader&);
-    boost::asio::awaitable<AttemptEnd> deliverStream(AttemptState&, AnswerReader&);
-    boost::asio::awaitable<bool> readMore(AttemptState&, AnswerReader&);
-    boost::asio::awaitable<bool> readToEnd(AttemptState&, AnswerReader&);
+    boost::asio::awaitable<AttemptEnd> refusedByServer(AttemptState&, AnswerSource&);
+    boost::asio::awaitable<AttemptEnd> deliverBuffered(AttemptState&, AnswerSource&);
+    boost::asio::awaitable<AttemptEnd> deliverStream(AttemptState&, AnswerSource&);
     boost::asio::awaitable<void> conclude(Error);
 
     static boost::asio::awaitable<void> writeRequest(std::shared_ptr<Exchange>, ServerConnectionPtr, std::string head, std::shared_ptr<bool> isWritten);
@@ -75,9 +73,7 @@
     void countOutcome(uint64_t TrafficCounts::*);
     void noteWait(TimePoint since);
     bool takeRetry();
-    ServerHealth& health();
     void noteAnswer(const AttemptState&, unsigned status);
-    void noteFailure(const AttemptState&);
     std::string handoverHead(const BackendServer&) const;
     bool isAnswerOwn(const AttemptState&, const AnswerFacts&) const;
     bool mayRetryFailure(unsigned status);
--- a/modules/borageslip_traffic/engine/ExchangeRecord.cpp
+++ b/modules/borageslip_traffic/engine/ExchangeRecord.cpp
@@ -4,15 +4,6 @@
 
 namespace borageslip {
 
-namespace {
-
-    std::chrono::milliseconds toMilliseconds(Duration duration)
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
-    }
-
-}
-
 void ExchangeRecord::sent(const BackendServer& server, const TrafficEngine& engine)
 {
     m_sends.push_back({ server.description().id, server.inFlight(), toMilliseconds(engine.clock().now() - m_arrivedAt), toMilliseconds(engine.knowledgeAge()) });
--- a/modules/borageslip_traffic/engine/ExchangeRecord.h
+++ b/modules/borageslip_traffic/engine/ExchangeRecord.h
@@ -9,6 +9,11 @@
 
 namespace borageslip {
 
+inline std::chrono::milliseconds toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
 /** What was known at each decision on one request, for the log line at its end.
     @see Exchange, `borageslip explain` */
 class ExchangeRecord {
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -24,14 +24,14 @@
         return target.substr(0, target.find('?'));
     }
 
-    const std::string& serviceOf(const Route& route, std::string_view requestId)
+    const std::string& serviceOf(const Route& route, uint64_t requestHash)
     {
         uint64_t total = 0;
         for (const auto& part : route.services)
             total += part.weight;
         if (total == 0)
             return route.services.front().service;
-        auto point = hashBytes(requestId) % total;
+        auto point = requestHash % total;
         for (const auto& part : route.services) {
             if (point < part.weight)
                 return part.service;
@@ -93,7 +93,8 @@
     if (route == nullptr)
         return Error { ErrorKind::NotFound, "no route for this host and path" };
 
-    AdmittedRequest admitted { m_configuration, route, {}, 0, serviceOf(*route, facts.requestId) };
+    const auto hash = hashBytes(facts.requestId);
+    AdmittedRequest admitted { m_configuration, route, {}, 0, serviceOf(*route, hash), hash, affinityOf(facts) };
     if (!m_configuration->hasAccounts())
         return admitted;
     const auto* account = facts.key.empty() ? nullptr : m_configuration->accountOfKey(facts.key);
@@ -109,11 +110,11 @@
     return admitted;
 }
 
-int64_t TrafficEngine::uncachedTokens(BackendServer& server, const RequestFacts& facts)
+int64_t TrafficEngine::uncachedTokens(BackendServer& server, const AdmittedRequest& admitted, const RequestFacts& facts)
 {
     if (facts.promptParts.empty())
         return 0;
-    const int64_t tokens = server.notePrefix(affinityOf(facts)) ? facts.promptParts.back().tokens : facts.promptTokens;
+    const int64_t tokens = server.notePrefix(admitted.affinity) ? facts.promptParts.back().tokens : facts.promptTokens;
     m_counts.promptTokens += facts.promptTokens;
     m_counts.promptTokensCached += static_cast<uint64_t>(std::max<int64_t>(0, facts.promptTokens - tokens));
     return tokens;
@@ -125,26 +126,25 @@
     return std::any_of(servers.begin(), servers.end(), [](const auto& server) { return server->isInService(); });
 }
 
-BackendServerPtr TrafficEngine::choose(const AdmittedRequest& admitted, const RequestFacts& facts, std::span<const uint64_t> excluded)
+BackendServerPtr TrafficEngine::choose(const AdmittedRequest& admitted, std::span<const uint64_t> excluded)
 {
     const auto now = m_clock.now();
-    const auto requestHash = hashBytes(facts.requestId);
     const auto& health = m_servers.health(admitted.service);
-    const auto& reserve = stateOf(admitted.service).urgentReserve;
+    const bool keepsReserve = stateOf(admitted.service).urgentReserve.isKeptFrom(admitted.urgency(), now);
     m_candidates.clear();
     m_candidateServers.clear();
     for (const auto& server : m_servers.ofService(admitted.service)) {
         if (!server->isInService())
             continue;
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
-        const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), requestHash, now);
-        const int slots = reserve.slotsFor(admitted.urgency(), server->description().slots, now);
+        const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), admitted.hash, now);
+        const int slots = keepsReserve ? UrgentReserve::openSlots(server->description().slots) : server->description().slots;
         m_candidates.push_back({ server->hash(), server->inFlight(), slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
             server->description().failureDomain == m_settings.failureDomain });
         m_candidateServers.push_back(server);
     }
-    const auto affinity = admitted.route->reusesPrefixes ? affinityOf(facts) : 0;
-    const auto choice = chooseServer(m_candidates, affinity, requestHash, m_settings.choice);
+    const auto affinity = admitted.route->reusesPrefixes ? admitted.affinity : 0;
+    const auto choice = chooseServer(m_candidates, affinity, admitted.hash, m_settings.choice);
     if (!choice)
         return nullptr;
     ++m_counts.placements.at(static_cast<size_t>(choice->reason));
@@ -188,14 +188,6 @@
     average = average == Duration::zero() ? duration : average + (duration - average) / smoothing;
 }
 
-void TrafficEngine::recordElsewhere(std::span<const ServerOutcomes> outcomes)
-{
-    for (const auto& row : outcomes) {
-        if (const auto server = m_servers.ofHash(row.server))
-            m_servers.health(server->description().service).recordElsewhere(row.server, row.answers, row.failures, m_clock.now());
-    }
-}
-
 void TrafficEngine::placeFreed(const std::string& service)
 {
     stateOf(service).waitingRoom.wakeFirst();
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -6,7 +6,6 @@
 #include "../limits/UrgentReserve.h"
 #include "../limits/WaitingRoom.h"
 #include "../metrics/TrafficCounts.h"
-#include "../peers/PeerReport.h"
 #include "../placement/ServerChoice.h"
 #include "../protocol/CallerProtocol.h"
 #include "../servers/ServerTable.h"
@@ -38,6 +37,8 @@
     std::string account;
     int accountPriority = 0;
     std::string service;
+    uint64_t hash = 0; ///< Of the request's identity; spreads choices among equals.
+    uint64_t affinity = 0; ///< Hash of the prompt's parts that other requests share; 0 for none.
 
     Urgency urgency() const { return { accountPriority, route->priority }; }
 };
@@ -63,6 +64,9 @@
     void confirmConfiguration(TimePoint at) { m_confirmedAt = std::max(m_confirmedAt, at); }
     const TrafficConfigurationPtr& configuration() const { return m_configuration; }
 
+    /** Bounds of what a caller may send: those in force, or the usual ones before there is a configuration. */
+    CallerLimits callerLimits() const { return m_configuration ? m_configuration->limits() : CallerLimits(); }
+
     /** Time since the store last confirmed the configuration and the list of backend servers. */
     Duration knowledgeAge() const { return m_clock.now() - m_confirmedAt; }
 
@@ -75,10 +79,10 @@
 
     /** Chooses a backend server that has a place, and counts why. @param excluded hashes of those that had the request
         before. */
-    BackendServerPtr choose(const AdmittedRequest&, const RequestFacts&, std::span<const uint64_t> excluded);
+    BackendServerPtr choose(const AdmittedRequest&, std::span<const uint64_t> excluded);
 
     /** Prompt tokens that the server has to read for the request, as far as known. To be called once for each send. */
-    int64_t uncachedTokens(BackendServer&, const RequestFacts&);
+    int64_t uncachedTokens(BackendServer&, const AdmittedRequest&, const RequestFacts&);
 
     bool hasServers(std::string_view service) const;
     WaitingRoom& waitingRoom(const std::string& service) { return stateOf(service).waitingRoom; }
@@ -93,9 +97,6 @@
     Duration serviceTime(const std::string& service) { return stateOf(service).serviceTime; }
     void recordServiceTime(const std::string& service, Duration);
 
-    /** Judges backend servers also by what another instance has seen of them. */
-    void recordElsewhere(std::span<const ServerOutcomes>);
-
     /** To be called when a request at a backend server has ended. */
     void placeFreed(const std::string& service);
 
--- a/modules/borageslip_traffic/limits/RequestQueue.h
+++ b/modules/borageslip_traffic/limits/RequestQueue.h
@@ -6,6 +6,9 @@
 
 namespace borageslip {
 
+constexpr size_t maxWaitingRequests = 256; ///< Of one service at one instance.
+constexpr Duration queueCheckInterval = std::chrono::milliseconds(20); ///< Loads of other instances change without a notification.
+
 /** Rank of a request among those that wait: the client account's priority goes before the route's; 0 is the most urgent. */
 struct Urgency {
     int account = 0;
--- a/modules/borageslip_traffic/limits/UrgentReserve.cpp
+++ b/modules/borageslip_traffic/limits/UrgentReserve.cpp
@@ -16,10 +16,14 @@
     m_lastArrivals[urgency] = now;
 }
 
-int UrgentReserve::slotsFor(Urgency urgency, int slots, TimePoint now) const
+bool UrgentReserve::isKeptFrom(Urgency urgency, TimePoint now) const
 {
-    const bool hasMoreUrgent = std::any_of(m_lastArrivals.begin(), m_lastArrivals.lower_bound(urgency), [now](const auto& entry) { return now - entry.second < memory; });
-    return hasMoreUrgent ? slots - slots / reserveDivisor : slots;
+    return std::any_of(m_lastArrivals.begin(), m_lastArrivals.lower_bound(urgency), [now](const auto& entry) { return now - entry.second < memory; });
+}
+
+int UrgentReserve::openSlots(int slots)
+{
+    return slots - slots / reserveDivisor;
 }
 
 }
--- a/modules/borageslip_traffic/limits/UrgentReserve.h
+++ b/modules/borageslip_traffic/limits/UrgentReserve.h
@@ -18,8 +18,14 @@
     /** Records that a request has come. */
     void recordArrival(Urgency, TimePoint now);
 
-    /** Places of a backend server that a request of this urgency may use. @param slots all of its places; 0: no limit. */
-    int slotsFor(Urgency, int slots, TimePoint now) const;
+    /** Whether the reserve is kept from requests of this urgency now. */
+    bool isKeptFrom(Urgency, TimePoint now) const;
+
+    /** Places of a backend server outside its reserve. @param slots all of its places; 0: no limit. */
+    static int openSlots(int slots);
+
+    /** Places of a backend server that a request of this urgency may use. */
+    int slotsFor(Urgency urgency, int slots, TimePoint now) const { return isKeptFrom(urgency, now) ? openSlots(slots) : slots; }
 
 private:
     std::map<Urgency, TimePoint> m_lastArrivals;
--- a/modules/borageslip_traffic/limits/WaitingRoom.h
+++ b/modules/borageslip_traffic/limits/WaitingRoom.h
@@ -10,8 +10,6 @@
 /** The queue of one service with the signals that wake its requests. Call it from the event loop that owns it. */
 class WaitingRoom {
 public:
-    static constexpr size_t maxRequests = 256;
-
     bool isEmpty() const { return m_queue.isEmpty(); }
     size_t size() const { return m_queue.size(); }
 
@@ -31,7 +29,7 @@
             found->second->notify();
     }
 
-    RequestQueue m_queue { maxRequests };
+    RequestQueue m_queue { maxWaitingRequests };
     std::unordered_map<RequestId, Signal*> m_signals; ///< Of the requests in the queue.
 };
 
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -51,15 +51,20 @@
         return family;
     }
 
+    /** Adds a row with one label to a family of counters or gauges. */
+    void addRow(MetricFamily& family, const char* label, const char* name, double value)
+    {
+        ClientMetric metric;
+        metric.label.push_back({ label, name });
+        (family.type == MetricType::Counter ? metric.counter.value : metric.gauge.value) = value;
+        family.metric.push_back(std::move(metric));
+    }
+
     MetricFamily outcomes(const TrafficCounts& counts)
     {
         auto family = familyOf("borageslip_entry_outcomes_total", "Requests that have ended, by outcome", MetricType::Counter);
-        for (const auto& row : outcomeRows) {
-            ClientMetric metric;
-            metric.label.push_back({ "outcome", row.outcome });
-            metric.counter.value = static_cast<double>(counts.*row.count);
-            family.metric.push_back(std::move(metric));
-        }
+        for (const auto& row : outcomeRows)
+            addRow(family, "outcome", row.outcome, static_cast<double>(counts.*row.count));
         return family;
     }
 
@@ -81,12 +86,8 @@
     MetricFamily placements(const TrafficCounts& counts)
     {
         auto family = familyOf("borageslip_entry_placements_total", "Choices of a backend server, by reason", MetricType::Counter);
-        for (size_t i = 0; i < choiceReasonCount; ++i) {
-            ClientMetric metric;
-            metric.label.push_back({ "reason", choiceReasonName(static_cast<ChoiceReason>(i)) });
-            metric.counter.value = static_cast<double>(counts.placements.at(i));
-            family.metric.push_back(std::move(metric));
-        }
+        for (size_t i = 0; i < choiceReasonCount; ++i)
+            addRow(family, "reason", choiceReasonName(static_cast<ChoiceReason>(i)), static_cast<double>(counts.placements.at(i)));
         return family;
     }
 
@@ -116,12 +117,8 @@
                 ++(engine.servers().health(server->description().service).isLowered(server->hash()) ? lowered : ready);
         }
         auto family = familyOf("borageslip_entry_servers", "Backend servers, by state", MetricType::Gauge);
-        for (const auto& [state, count] : { std::pair("ready", ready), std::pair("draining", draining), std::pair("ejected", ejected), std::pair("lowered", lowered) }) {
-            ClientMetric metric;
-            metric.label.push_back({ "state", state });
-            metric.gauge.value = count;
-            family.metric.push_back(std::move(metric));
-        }
+        for (const auto& [state, count] : { std::pair("ready", ready), std::pair("draining", draining), std::pair("ejected", ejected), std::pair("lowered", lowered) })
+            addRow(family, "state", state, count);
         return family;
     }
 
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -123,7 +123,7 @@
             continue;
         }
         const auto news = m_board.apply(value(std::move(report)), m_engine.clock().now());
-        m_engine.recordElsewhere(news);
+        m_engine.servers().recordElsewhere(news);
     }
 }
 
--- a/modules/borageslip_traffic/servers/BackendServer.cpp
+++ b/modules/borageslip_traffic/servers/BackendServer.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr size_t maxPrefixes = 128; ///< Remembered prompts' beginnings of one server.
     constexpr int failuresBeforeEjection = 2;
     constexpr Duration shortestEjection = std::chrono::milliseconds(500);
     constexpr Duration longestEjection = std::chrono::seconds(4);
@@ -20,7 +19,6 @@
     , m_clock(clock)
     , m_hash(hashBytes(m_description.id))
     , m_pool(clock, executor, m_description.address)
-    , m_prefixes(maxPrefixes)
 {
     setCold(m_description.coldLeft);
 }
@@ -46,14 +44,6 @@
     m_pool.closeAll();
 }
 
-bool BackendServer::notePrefix(uint64_t affinity)
-{
-    if (m_prefixes.find(affinity) != nullptr)
-        return true;
-    m_prefixes.findOrInsert(affinity);
-    return false;
-}
-
 void BackendServer::recordSuccess()
 {
     m_consecutiveFailures = 0;
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "../net/ConnectionPool.h"
+#include "../placement/PromptMemory.h"
 
 #include <borageslip_core/time/Clock.h>
-#include <borageslip_routing/collections/LruTable.h>
 
 #include <cstdint>
 #include <memory>
@@ -66,7 +66,7 @@
 
     /** Notes that a prompt that begins with these parts is sent to it. Returns whether one has been before, so that it
         has probably read them. */
-    bool notePrefix(uint64_t affinity);
+    bool notePrefix(uint64_t affinity) { return m_prompts.note(affinity); }
 
     /** Requests of this instance that it answered, and that failed there, since it is known. */
     struct Outcomes {
@@ -98,7 +98,7 @@
     int m_peersInFlight = 0;
     int64_t m_ownPendingPrefill = 0;
     int64_t m_peersPendingPrefill = 0;
-    LruTable<char> m_prefixes; ///< Beginnings of prompts that were sent to it; the values are not used.
+    PromptMemory m_prompts;
     Outcomes m_outcomes;
     int m_consecutiveFailures = 0;
     TimePoint m_coldUntil {};
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -85,10 +85,30 @@
     return found == m_ofService.end() ? std::span<const BackendServerPtr>() : std::span<const BackendServerPtr>(found->second);
 }
 
-BackendServerPtr ServerTable::ofHash(uint64_t hash) const
+void ServerTable::recordSend(const BackendServer& server)
 {
-    const auto found = m_ofHash.find(hash);
-    return found == m_ofHash.end() ? nullptr : found->second;
+    health(server.description().service).recordSend(server.hash(), m_clock.now());
+}
+
+void ServerTable::recordAnswer(BackendServer& server, TimePoint sentAt)
+{
+    const auto now = m_clock.now();
+    server.countAnswer();
+    health(server.description().service).recordAnswer(server.hash(), now - sentAt, sentAt, now);
+}
+
+void ServerTable::recordFailure(BackendServer& server, TimePoint sentAt)
+{
+    server.countFailure();
+    health(server.description().service).recordFailure(server.hash(), sentAt, m_clock.now());
+}
+
+void ServerTable::recordElsewhere(std::span<const ServerOutcomes> outcomes)
+{
+    for (const auto& row : outcomes) {
+        if (const auto found = m_ofHash.find(row.server); found != m_ofHash.end())
+            health(found->second->description().service).recordElsewhere(row.server, row.answers, row.failures, m_clock.now());
+    }
 }
 
 void ServerTable::evaluateHealth()
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../peers/PeerReport.h"
 #include "BackendServer.h"
 #include "ServerHealth.h"
 
@@ -33,8 +34,13 @@
     std::span<const BackendServerPtr> ofService(std::string_view service) const;
     const std::map<std::string, BackendServerPtr, std::less<>>& all() const { return m_servers; }
 
-    /** Returns null for an unknown hash. */
-    BackendServerPtr ofHash(uint64_t hash) const;
+    /** Records a request to a server and how it ended there, for its health and for the other instances. */
+    void recordSend(const BackendServer&);
+    void recordAnswer(BackendServer&, TimePoint sentAt);
+    void recordFailure(BackendServer&, TimePoint sentAt);
+
+    /** Records what another instance has seen of the servers. */
+    void recordElsewhere(std::span<const ServerOutcomes>);
 
     /** Health of the servers of one service, by their hashes. */
     ServerHealth& health(const std::string& service) { return m_health[service]; }
--- a/tests/borageslip_traffic/WaitingTests.cpp
+++ b/tests/borageslip_traffic/WaitingTests.cpp
@@ -103,7 +103,7 @@
     {
         std::vector<std::unique_ptr<WaitingPlace>> places;
         WaitingPlace low(room, { 9, 0 }, waiting("low", "z"), displacedSignal);
-        for (size_t i = 1; i < WaitingRoom::maxRequests; ++i)
+        for (size_t i = 1; i < maxWaitingRequests; ++i)
             places.push_back(std::make_unique<WaitingPlace>(room, Urgency { 1, 1 }, waiting(std::to_string(i), "a"), signal));
         CHECK(low.isKept());
         CHECK_FALSE(low.isFirst());
