Ask instances for platform-status as the other commands ask routers

platform-status asked one instance after the other, with up to 2 s for each, and had its own HTTP client beside the one of askFleet(). askInstances() asks at most 16 at a time for both.

--- a/apps/borageslip/PlatformCommand.cpp
+++ b/apps/borageslip/PlatformCommand.cpp
@@ -1,17 +1,19 @@
 #include "PlatformCommand.h"
 
+#include <borageslip_configuration/operators/FleetStatus.h>
 #include <platform/PlatformSettings.h>
 #include <platform/operators/DeployFile.h>
 #include <platform/operators/StoreOverview.h>
 
-#include <httplib.h>
+#include <map>
+#include <optional>
 #include <sstream>
 
 namespace borageslip {
 
 namespace {
 
-    constexpr std::chrono::seconds instanceTimeout { 2 };
+    constexpr std::chrono::milliseconds instanceTimeout { 2000 };
 
     /** What one instance says of itself. */
     struct InstanceState {
@@ -33,27 +35,38 @@
         return std::nullopt;
     }
 
-    InstanceState ask(const Member& member)
+    InstanceState stateFrom(const Member& member, const InstanceAnswer& answer)
     {
         InstanceState state { member.name, member.failureDomain, {}, 0, {} };
         if (member.metricsAddress.port() == 0) {
             state.failure = "has registered no address for its metrics";
             return state;
         }
-        httplib::Client client(member.metricsAddress.address().to_string(), member.metricsAddress.port());
-        client.set_connection_timeout(instanceTimeout);
-        client.set_read_timeout(instanceTimeout);
-        const auto answer = client.Get("/metrics");
-        if (!answer || answer->status != 200) {
-            state.failure = answer ? "status " + std::to_string(answer->status) : httplib::to_string(answer.error());
+        if (answer.status != 200) {
+            state.failure = answer.status == 0 ? answer.failure : "status " + std::to_string(answer.status);
             return state;
         }
-        if (const auto version = metricOf(answer->body, "borageslip_entry_configuration_version"))
+        if (const auto version = metricOf(answer.body, "borageslip_entry_configuration_version"))
             state.version = static_cast<uint64_t>(*version);
-        state.knowledgeAge = metricOf(answer->body, "borageslip_entry_knowledge_age_seconds").value_or(0);
+        state.knowledgeAge = metricOf(answer.body, "borageslip_entry_knowledge_age_seconds").value_or(0);
         return state;
     }
 
+    std::vector<InstanceState> askMembers(std::span<const Member> members)
+    {
+        std::vector<std::string> addresses;
+        for (const auto& member : members) {
+            std::ostringstream address;
+            address << member.metricsAddress;
+            addresses.push_back(address.str());
+        }
+        const auto answers = askInstances(addresses, "/metrics", instanceTimeout);
+        std::vector<InstanceState> states;
+        for (size_t i = 0; i < members.size(); ++i)
+            states.push_back(stateFrom(members[i], answers[i]));
+        return states;
+    }
+
     nlohmann::json toJson(const InstanceState& state)
     {
         nlohmann::json json { { "name", state.name }, { "failure_domain", state.failureDomain }, { "knowledge_age_s", state.knowledgeAge } };
@@ -84,8 +97,7 @@
         const auto* stored = overview.configuration ? &*overview.configuration : nullptr;
         status.isInForceEverywhere = stored != nullptr;
         status.json["instances"] = nlohmann::json::array();
-        for (const auto& member : overview.members) {
-            const auto state = ask(member);
+        for (const auto& state : askMembers(overview.members)) {
             status.json["instances"].push_back(toJson(state));
             const bool isInForce = stored != nullptr && state.version.value_or(0) == stored->version();
             status.isInForceEverywhere &= isInForce;
--- a/modules/borageslip_configuration/operators/FleetStatus.cpp
+++ b/modules/borageslip_configuration/operators/FleetStatus.cpp
@@ -20,18 +20,17 @@
         return client.Get(path);
     }
 
-    RouterStatus askRouter(const std::string& address, std::chrono::milliseconds timeout)
+    RouterStatus statusFrom(const std::string& address, const InstanceAnswer& answer)
     {
         RouterStatus status;
         status.address = address;
-        const auto answer = get(address, "/operator/status", timeout);
-        if (!answer) {
-            status.failure = httplib::to_string(answer.error());
+        if (answer.status == 0) {
+            status.failure = answer.failure;
             return status;
         }
-        status.body = nlohmann::json::parse(answer->body, nullptr, false);
-        if (answer->status != 200 || !status.body.is_object()) {
-            status.failure = "status " + std::to_string(answer->status);
+        status.body = nlohmann::json::parse(answer.body, nullptr, false);
+        if (answer.status != 200 || !status.body.is_object()) {
+            status.failure = "status " + std::to_string(answer.status);
             return status;
         }
         try {
@@ -80,19 +79,29 @@
     return accounts;
 }
 
-FleetStatus askFleet(std::span<const std::string> operatorAddresses, std::chrono::milliseconds timeout)
+std::vector<InstanceAnswer> askInstances(std::span<const std::string> addresses, const std::string& path, std::chrono::milliseconds timeout)
 {
-    FleetStatus fleet;
-    fleet.routers.resize(operatorAddresses.size());
+    std::vector<InstanceAnswer> answers(addresses.size());
     std::atomic<size_t> next = 0;
     std::vector<std::jthread> threads;
-    for (size_t i = 0; i < std::min(maxConcurrentAsks, operatorAddresses.size()); ++i) {
+    for (size_t i = 0; i < std::min(maxConcurrentAsks, addresses.size()); ++i) {
         threads.emplace_back([&] {
-            for (size_t index = next++; index < operatorAddresses.size(); index = next++)
-                fleet.routers[index] = askRouter(operatorAddresses[index], timeout);
+            for (size_t index = next++; index < addresses.size(); index = next++) {
+                const auto answer = get(addresses[index], path, timeout);
+                answers[index] = answer ? InstanceAnswer { answer->status, answer->body, {} } : InstanceAnswer { 0, {}, httplib::to_string(answer.error()) };
+            }
         });
     }
     threads.clear();
+    return answers;
+}
+
+FleetStatus askFleet(std::span<const std::string> operatorAddresses, std::chrono::milliseconds timeout)
+{
+    const auto answers = askInstances(operatorAddresses, "/operator/status", timeout);
+    FleetStatus fleet;
+    for (size_t i = 0; i < answers.size(); ++i)
+        fleet.routers.push_back(statusFrom(operatorAddresses[i], answers[i]));
     return fleet;
 }
 
--- a/modules/borageslip_configuration/operators/FleetStatus.h
+++ b/modules/borageslip_configuration/operators/FleetStatus.h
@@ -32,6 +32,16 @@
     std::set<AccountId> accountsInUse() const;
 };
 
+/** Answer of one instance to a GET. */
+struct InstanceAnswer {
+    int status = 0; ///< 0: none came.
+    std::string body;
+    std::string failure; ///< Why none came.
+};
+
+/** Asks all addresses ("ip:port") for the same path, at most 16 at a time, with a timeout for each. Blocks. */
+std::vector<InstanceAnswer> askInstances(std::span<const std::string> addresses, const std::string& path, std::chrono::milliseconds timeout);
+
 /** Asks each router's `GET /operator/status`, at most 16 at a time, with a timeout for each. Blocks. */
 FleetStatus askFleet(std::span<const std::string> operatorAddresses, std::chrono::milliseconds timeout);
 
