Let the experiment use the product's constants and prompt memory

The model of an instance repeated the product's bound on waiting requests, interval of checks and memory of prompts, which could have moved apart. It uses RequestQueue's constants and PromptMemory.

--- a/modules/borageslip_experiment/model/InstanceModel.cpp
+++ b/modules/borageslip_experiment/model/InstanceModel.cpp
@@ -8,21 +8,19 @@
 
 namespace {
 
-    constexpr size_t maxWaiting = 256; ///< As in the product.
-    constexpr size_t maxPrefixes = 128; ///< As in the product.
     constexpr Duration ejection = std::chrono::milliseconds(500);
 
 }
 
 InstanceModel::InstanceModel(size_t engines, size_t instances)
-    : queue(maxWaiting)
+    : queue(maxWaitingRequests)
     , retryBudget(FleetRetryBudget::Limits {})
     , m_outcomes(engines)
     , m_own(engines)
     , m_reported(engines)
     , m_others(engines)
     , m_ejectedUntil(engines)
-    , m_prefixes(engines, LruTable<char>(maxPrefixes))
+    , m_prompts(engines)
 {
     retryBudget.setInstanceCount(instances);
     for (size_t i = 0; i < engines; ++i)
@@ -47,13 +45,8 @@
 
 int64_t InstanceModel::uncachedTokens(size_t engine, const CallerRequest& request)
 {
-    if (request.prefix == 0)
-        return request.promptTokens;
-    auto& prefixes = m_prefixes[engine];
-    if (prefixes.find(request.prefix) != nullptr)
-        return request.promptTokens;
-    prefixes.findOrInsert(request.prefix);
-    return request.promptTokens + request.kind->prefixTokens;
+    const bool isRead = request.prefix == 0 || m_prompts[engine].note(request.prefix);
+    return isRead ? request.promptTokens : request.promptTokens + request.kind->prefixTokens;
 }
 
 void InstanceModel::markReported()
--- a/modules/borageslip_experiment/model/InstanceModel.h
+++ b/modules/borageslip_experiment/model/InstanceModel.h
@@ -3,10 +3,10 @@
 #include "CallerRequest.h"
 #include "PlacementStrategy.h"
 
-#include <borageslip_routing/collections/LruTable.h>
 #include <borageslip_traffic/limits/FleetRetryBudget.h>
 #include <borageslip_traffic/limits/RequestQueue.h>
 #include <borageslip_traffic/limits/UrgentReserve.h>
+#include <borageslip_traffic/placement/PromptMemory.h>
 #include <borageslip_traffic/servers/ServerHealth.h>
 
 namespace borageslip {
@@ -66,7 +66,7 @@
     std::vector<EngineUse> m_reported;
     std::vector<EngineUse> m_others;
     std::vector<Duration> m_ejectedUntil;
-    std::vector<LruTable<char>> m_prefixes;
+    std::vector<PromptMemory> m_prompts; ///< By engine.
 };
 
 }
--- a/modules/borageslip_experiment/run/PolicyExperiment.cpp
+++ b/modules/borageslip_experiment/run/PolicyExperiment.cpp
@@ -12,7 +12,6 @@
 
     using std::chrono::milliseconds;
 
-    constexpr Duration queueInterval = milliseconds(20); ///< As in the product.
     constexpr Duration callerPatience = milliseconds(100); ///< Before a caller that returns at once calls again.
     constexpr int maxSends = 2;
     constexpr int maxUnreachable = 3;
@@ -21,6 +20,11 @@
     constexpr Duration listLag = milliseconds(1000); ///< Until a crashed engine has left the platform's list.
     constexpr double failureShare = 0.5; ///< Of the requests at a failing engine.
 
+    RequestId queueId(const CallerRequest& request)
+    {
+        return RequestId(std::to_string(request.id));
+    }
+
     uint64_t prefixIdentity(size_t requestClass, uint64_t number)
     {
         return hashPair(requestClass + 1, number) | 1;
@@ -38,7 +42,7 @@
     planArrivals();
     for (size_t i = 0; i < m_instances.size(); ++i) {
         schedule(m_pattern.reportInterval * i / m_instances.size(), Happening::Report, i);
-        schedule(queueInterval * i / m_instances.size(), Happening::QueueCheck, i);
+        schedule(queueCheckInterval * i / m_instances.size(), Happening::QueueCheck, i);
     }
     for (size_t i = 0; i < m_pattern.events.size(); ++i) {
         schedule(m_pattern.events[i].start, Happening::EventStart, i);
@@ -172,15 +176,20 @@
         enqueue(request);
 }
 
+CallerRequest& PolicyExperiment::requestOf(const QueuedRequest& queued)
+{
+    return *m_requests[std::stoull(queued.id.text())];
+}
+
 void PolicyExperiment::enqueue(CallerRequest& request)
 {
     const auto& kind = *request.kind;
     const double cost = requestCost(request.promptTokens + kind.prefixTokens, request.outputTokens);
-    const RequestId id(std::to_string(request.id));
+    const auto id = queueId(request);
     request.state = CallerRequest::State::Queued;
     const auto pushed = m_instances[request.instance].queue.push(request.urgency(), { id, AccountId(kind.account), cost, now(), timePoint(request.deadline) });
     if (pushed.displaced)
-        reject(*m_requests[std::stoull(pushed.displaced->id.text())]);
+        reject(requestOf(*pushed.displaced));
     if (!pushed.isQueued)
         reject(request);
 }
@@ -189,13 +198,13 @@
 {
     auto& instance = m_instances[index];
     const auto expired = instance.queue.removeIf([&](const QueuedRequest& queued, size_t) {
-        const auto& request = *m_requests[std::stoull(queued.id.text())];
+        const auto& request = requestOf(queued);
         return now() >= latestStart(queued.queuedAt, queued.deadline, request.kind->latencyObjective, {});
     });
     for (const auto& queued : expired)
-        reject(*m_requests[std::stoull(queued.id.text())]);
+        reject(requestOf(queued));
     while (const auto* first = instance.queue.front()) {
-        auto& request = *m_requests[std::stoull(first->id.text())];
+        auto& request = requestOf(*first);
         if (!choose(request))
             break;
         instance.queue.pop();
@@ -204,7 +213,7 @@
             reject(request);
     }
     if (m_now < m_pattern.length || !instance.queue.isEmpty())
-        schedule(m_now + queueInterval, Happening::QueueCheck, index);
+        schedule(m_now + queueCheckInterval, Happening::QueueCheck, index);
 }
 
 void PolicyExperiment::report(size_t index)
@@ -342,7 +351,7 @@
     if (request.state == CallerRequest::State::Ended)
         return;
     if (request.state == CallerRequest::State::Queued)
-        m_instances[request.instance].queue.remove(RequestId(std::to_string(request.id)));
+        m_instances[request.instance].queue.remove(queueId(request));
     if (request.state == CallerRequest::State::AtEngine) {
         m_outcome.tokensPrefilledInVain += m_engines[request.engine].model.prefilledFor(request.id);
         m_engines[request.engine].model.cancel(request.id);
--- a/modules/borageslip_experiment/run/PolicyExperiment.h
+++ b/modules/borageslip_experiment/run/PolicyExperiment.h
@@ -64,6 +64,7 @@
 
     void call(CallerRequest&);
     void leave(CallerRequest&);
+    CallerRequest& requestOf(const QueuedRequest&);
     void enqueue(CallerRequest&);
     void checkQueue(size_t instance);
     void report(size_t instance);
