--- a/modules/borageslip_traffic/engine/ExchangeRecord.cpp
+++ b/modules/borageslip_traffic/engine/ExchangeRecord.cpp
@@ -6,14 +6,14 @@
 
 void ExchangeRecord::sent(const BackendServer& server, const TrafficEngine& engine)
 {
-    m_sends.push_back({ server.description().id, server.inFlight(), toMilliseconds(engine.clock().now() - m_arrivedAt), toMilliseconds(engine.knowledgeAge()) });
+    m_sends.push_back({ server.description().id, server.inFlight(), toMilliseconds(engine.clock().now() - m_arrivedAt), toMilliseconds(engine.knowledgeAge()), toMilliseconds(engine.loadAge()), engine.meanInFlight(server.description().service) });
 }
 
 void ExchangeRecord::log(Severity severity, std::string_view event, std::string_view outcome, std::string_view detail, const TrafficEngine& engine, const AdmittedRequest& admitted) const
 {
     auto sends = nlohmann::json::array();
     for (const auto& send : m_sends)
-        sends.push_back({ { "server", send.server }, { "in_flight", send.inFlight }, { "after_ms", send.after.count() }, { "knowledge_age_ms", send.knowledgeAge.count() } });
+        sends.push_back({ { "server", send.server }, { "in_flight", send.inFlight }, { "after_ms", send.after.count() }, { "knowledge_age_ms", send.knowledgeAge.count() }, { "load_age_ms", send.loadAge.count() }, { "mean", send.meanInFlight } });
     nlohmann::json fields {
         { "request", m_requestId },
         { "outcome", outcome },
--- a/modules/borageslip_traffic/engine/ExchangeRecord.h
+++ b/modules/borageslip_traffic/engine/ExchangeRecord.h
@@ -38,6 +38,8 @@
         int inFlight = 0;
         std::chrono::milliseconds after { 0 }; ///< Since the request arrived.
         std::chrono::milliseconds knowledgeAge { 0 }; ///< Since the store confirmed the list and the configuration.
+        std::chrono::milliseconds loadAge { 0 }; ///< Mean age of the other instances' reports that the choice used.
+        double meanInFlight = 0; ///< Of the service's servers, as far as known.
     };
 
     std::string m_requestId;
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -126,6 +126,19 @@
     return std::any_of(servers.begin(), servers.end(), [](const auto& server) { return server->isInService(); });
 }
 
+double TrafficEngine::meanInFlight(std::string_view service) const
+{
+    int total = 0;
+    int count = 0;
+    for (const auto& server : m_servers.ofService(service)) {
+        if (!server->isInService())
+            continue;
+        total += server->inFlight();
+        ++count;
+    }
+    return count == 0 ? 0 : static_cast<double>(total) / count;
+}
+
 BackendServerPtr TrafficEngine::choose(const AdmittedRequest& admitted, std::span<const uint64_t> excluded)
 {
     const auto now = m_clock.now();
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -70,6 +70,15 @@
     /** Time since the store last confirmed the configuration and the list of backend servers. */
     Duration knowledgeAge() const { return m_clock.now() - m_confirmedAt; }
 
+    /** Records when the loads of the other instances were true, on average. */
+    void recordLoadTime(TimePoint at) { m_loadsTrueAt = at; }
+
+    /** Mean age of what is known of the other instances' loads; zero when nothing is known of any. */
+    Duration loadAge() const { return m_loadsTrueAt == TimePoint() ? Duration::zero() : m_clock.now() - m_loadsTrueAt; }
+
+    /** Mean number of requests of all instances at a server of the service that is in service, as far as known. */
+    double meanInFlight(std::string_view service) const;
+
     /** Whether keys may be accepted: the store has confirmed the configuration lately. */
     bool mayTrustKeys() const;
 
@@ -137,6 +146,7 @@
     TrafficSettings m_settings;
     TrafficConfigurationPtr m_configuration;
     TimePoint m_confirmedAt {};
+    TimePoint m_loadsTrueAt {};
     bool m_refusesNewRequests = false;
     ServerTable m_servers;
     std::map<std::string, ServiceState, std::less<>> m_services;
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -159,6 +159,7 @@
         gauge("borageslip_entry_members", "Other instances that the store lists", static_cast<double>(m_peers.memberCount())),
         gauge("borageslip_entry_members_heard", "Other instances whose reports arrive", static_cast<double>(m_peers.heardCount())),
         gauge("borageslip_entry_peer_report_age_seconds", "Age of the oldest report that counts", std::chrono::duration<double>(m_peers.oldestReportAge()).count()),
+        gauge("borageslip_entry_load_age_seconds", "Mean age of the other instances' loads that choices use", std::chrono::duration<double>(m_engine.loadAge()).count()),
         gauge("borageslip_entry_resident_bytes", "Memory of the process", residentBytes()),
         gauge("borageslip_entry_loop_lag_seconds", "How late the event loop served its last timer", std::chrono::duration<double>(m_loopLag).count()),
         counter("borageslip_entry_log_lines_dropped_total", "Log lines that a full pipe did not take", droppedLogLines()),
--- a/modules/borageslip_traffic/peers/PeerBoard.cpp
+++ b/modules/borageslip_traffic/peers/PeerBoard.cpp
@@ -65,6 +65,19 @@
     return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) { return now - entry.second.heardAt <= m_lifetime; }));
 }
 
+std::optional<TimePoint> PeerBoard::meanHeardAt(TimePoint now) const
+{
+    Duration total {};
+    int count = 0;
+    for (const auto& [sender, entry] : m_entries) {
+        if (now - entry.heardAt > m_lifetime)
+            continue;
+        total += now - entry.heardAt;
+        ++count;
+    }
+    return count == 0 ? std::nullopt : std::optional(now - total / count);
+}
+
 Duration PeerBoard::oldestAge(TimePoint now) const
 {
     Duration oldest {};
--- a/modules/borageslip_traffic/peers/PeerBoard.h
+++ b/modules/borageslip_traffic/peers/PeerBoard.h
@@ -5,6 +5,7 @@
 #include <borageslip_core/time/Clock.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -37,6 +38,9 @@
 
     /** Age of the oldest report that counts; zero when none does. */
     Duration oldestAge(TimePoint now) const;
+
+    /** Mean of the times at which the reports that count came; nothing when none counts. */
+    std::optional<TimePoint> meanHeardAt(TimePoint now) const;
     void setLifetime(Duration lifetime) { m_lifetime = lifetime; }
 
 private:
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -159,7 +159,10 @@
 
 void PeerLink::applyUses()
 {
-    const auto uses = m_board.uses(m_engine.clock().now());
+    const auto now = m_engine.clock().now();
+    if (const auto trueAt = m_board.meanHeardAt(now))
+        m_engine.recordLoadTime(*trueAt);
+    const auto uses = m_board.uses(now);
     for (const auto& [id, server] : m_engine.servers().all()) {
         const auto found = uses.find(server->hash());
         const auto use = found == uses.end() ? ServerUse() : found->second;
