Show that an instance which the store turns away does not learn of changes

Five real instances against the stand-ins: the store turns one of them away with 503 or without an answer while the operator changes the configuration. The four others have the change in force within 3 s, the fifth keeps the old one for as long as it is turned away and refuses all keys after 3.8 s; a revoked key gets 503 there, not 401.

--- /dev/null
+++ b/tests/platform/fleet_test.py
@@ -0,0 +1,135 @@
+#!/usr/bin/env python3
+"""Runs several borageslip-entry processes against stand-ins of the platform on loopback and checks what they do together.
+
+Each case names the failure that it guards against. Ends with the number of failed cases; bounded in time.
+"""
+import argparse
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+from entry_test import Entry, check, failures, read_answer, request  # noqa: E402
+from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
+
+CHANGE_BOUND = 3  # Seconds, of the users' sheets for sites of this kind.
+INSTANCES = 5
+
+
+def route_added(version):
+    document = configuration(version)
+    document["routes"].append({**document["routes"][0], "name": "new", "path_prefix": f"/new-{version}/"})
+    return document
+
+
+async def served(entry, path):
+    return (await entry.ask(path)).status == 200
+
+
+async def check_turned_away(fleet, how, version):
+    """An instance that the store turns away has no other way to a change that the store has confirmed."""
+    store, entries = fleet
+    away = entries[-1]
+    store.turned_away = how
+    await asyncio.sleep(0.3)
+    store.put_json("op/config", route_added(version))
+    results = await asyncio.gather(*(entry.until(lambda entry=entry: served(entry, f"/new-{version}/a"), CHANGE_BOUND) for entry in entries))
+    check(f"a change is in force in time at all instances, also at one that the store turns away ({how})", all(results), results)
+    await asyncio.sleep(4)
+    check(f"keys are accepted there as long as another instance confirms them ({how})", await served(away, "/read/a") and await away.is_ready())
+    store.put_json("op/config", {**route_added(version + 1), "tenants": [{"name": "account-1", "api_keys": ["key-2"], "priority": 1}]})
+
+    async def revoked():
+        return (await away.ask("/read/a")).status == 401
+
+    check(f"a revoked key is refused there within the bound ({how})", await away.until(revoked, CHANGE_BOUND))
+    store.put_json("op/config", route_added(version + 2))
+    store.turned_away = None
+    check(f"all accept the key again ({how})", all([await entry.until(lambda entry=entry: served(entry, "/read/a"), CHANGE_BOUND) for entry in entries]))
+
+
+async def check_reader_lost(fleet):
+    """Instances that follow one that is lost must go on without it, and no change may be lost meanwhile."""
+    store, entries = fleet
+    for lost in entries[:2]:
+        lost.process.kill()
+        await lost.process.wait()
+    store.put_json("op/config", route_added(40))
+    results = await asyncio.gather(*(entry.until(lambda entry=entry: served(entry, "/new-40/a"), CHANGE_BOUND) for entry in entries[2:]))
+    check("a change is in force in time when instances are lost that read the store for others", all(results), results)
+
+
+async def check_store_calls(fleet):
+    """The calls of the store must not grow with the number of instances."""
+    store, _ = fleet
+    await asyncio.sleep(4)
+    store.calls.clear()
+    await asyncio.sleep(3)
+    watches = store.calls.get("kv-watch", 0)
+    check("one instance of a failure domain watches the store for the others", 0 < watches <= 8, watches)
+
+
+async def check_slots(fleet, servers):
+    """Instances that choose at the same moment by loads that they have heard must not overfill a server."""
+    _, entries = fleet
+    for server in servers:
+        server.piece_delay = 0.05
+        server.most_running = server.running = 0
+
+    async def ask(entry, number):
+        reader, writer = await asyncio.open_connection("127.0.0.1", entry.front)
+        writer.write(request("/once/a", identity=f"s-{entry.front}-{number}", deadline=1900))
+        answer = await read_answer(reader)
+        writer.close()
+        return answer
+
+    for round_number in range(3):
+        await asyncio.gather(*(ask(entry, round_number * 100 + number) for number in range(9) for entry in entries))
+    most = [server.most_running for server in servers]
+    check("no server holds more requests than it has places, whatever instance sends them", max(most) <= servers[0].slots, most)
+
+
+async def run(binary):
+    store = Store()
+    _, store_address = await start_server(store.serve)
+    _, second_address = await start_server(store.serve_some)
+    servers = [BackendServer(f"i-{number}") for number in range(3)]
+    for server in servers:
+        _, server.address = await start_server(server.serve)
+        store.put_json(f"servers/{server.identity}", server.entry("pool"))
+    store.put_json("op/config", configuration(7))
+    with tempfile.TemporaryDirectory() as folder:
+        entries = [Entry(binary, folder, second_address if number == INSTANCES - 1 else store_address, name=f"entry-{number}") for number in range(INSTANCES)]
+        try:
+            for entry in entries:
+                await entry.start()
+            for entry in entries:
+                check("an instance gets ready", await entry.until(entry.is_ready))
+            await asyncio.sleep(2)
+            fleet = (store, entries)
+            await asyncio.wait_for(check_slots(fleet, servers), 60)
+            await asyncio.wait_for(check_store_calls(fleet), 60)
+            await asyncio.wait_for(check_turned_away(fleet, "busy", 20), 60)
+            await asyncio.wait_for(check_turned_away(fleet, "silent", 30), 60)
+            await asyncio.wait_for(check_reader_lost(fleet), 60)
+        finally:
+            for entry in entries:
+                if entry.process and entry.process.returncode is None:
+                    entry.process.kill()
+                    await entry.process.wait()
+                if failures:
+                    print(entry.path.name, entry.log_path.read_text()[-1500:])
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", required=True, help="folder of the programs")
+    arguments = parser.parse_args()
+    asyncio.run(run(str(pathlib.Path(arguments.bin) / "borageslip-entry")))
+    print(f"{len(failures)} failed")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -43,6 +43,8 @@
         self.leases = {}
         self.next_lease = 100
         self.is_down = False
+        self.turned_away = None
+        self.calls = {}
         self.oldest = 0
         self.changed = asyncio.Event()
 
@@ -130,11 +132,24 @@
             except asyncio.TimeoutError:
                 pass
 
-    async def serve(self, reader, writer):
+    async def serve_some(self, reader, writer):
+        """Serves the instances that the store turns away while `turned_away` says how."""
+        await self.serve(reader, writer, lambda: self.turned_away)
+
+    async def serve(self, reader, writer, refusal=lambda: None):
         while True:
             message = await read_message(reader)
             if message is None:
                 break
+            name = message[0].split(" ")[1].split("?")[0].split("/")[2]
+            self.calls[name] = self.calls.get(name, 0) + 1
+            if refusal() == "busy":
+                writer.write(response(503))
+                continue
+            if refusal() == "silent":
+                while refusal() == "silent":
+                    await asyncio.sleep(0.05)
+                break
             if self.is_down:
                 while self.is_down:
                     await asyncio.sleep(0.05)
@@ -144,6 +159,18 @@
         writer.close()
 
 
+MOST_POURED = 64 * 1024 * 1024
+
+# Status, header fields and the bytes that follow without end, by behaviour.
+ENDLESS = {
+    "endless-head": (200, [], b"X-Long: " + b"x" * 1000 + b"\r\n"),
+    "endless-line": (200, [], b"x" * 4096),
+    "endless-body-of-another": (200, [("X-Request-Id", "another"), ("Transfer-Encoding", "chunked\r\n")], b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "endless-refusal": (503, [("X-Not-Executed", "1"), ("Transfer-Encoding", "chunked\r\n")], b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "endless-chunk-line": (200, [("Transfer-Encoding", "chunked\r\n\r\n5;")], b"x" * 4096),
+}
+
+
 class BackendServer:
     """Answers plain requests and streams; `behaviour` names how it misbehaves."""
 
@@ -155,6 +182,11 @@
         self.pieces = 5
         self.piece_delay = 0.02
         self.address = None
+        self.slots = 8
+        self.poured = 0
+        self.was_closed = False
+        self.running = 0
+        self.most_running = 0
 
     async def serve(self, reader, writer):
         try:
@@ -177,6 +209,11 @@
                 writer.write(response(503, headers=own + [("X-Not-Executed", "1")]))
                 continue
             self.runs.append((line, headers, body))
+            self.running += 1
+            self.most_running = max(self.most_running, self.running)
+            if self.behaviour in ENDLESS:
+                await self._pour(own, writer)
+                return
             if self.behaviour == "lost":
                 return
             if self.behaviour == "silent":
@@ -203,6 +240,21 @@
                 writer.write(response(200, b"ran " + body, own))
             await writer.drain()
             self.finished += 1
+            self.running -= 1
+
+    async def _pour(self, own, writer):
+        """Writes bytes that are no answer until the other side closes, or up to a bound."""
+        status, fields, block = ENDLESS[self.behaviour]
+        head = f"HTTP/1.1 {status} X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in (own if "X-Request-Id" not in dict(fields) else []) + list(fields))
+        self.poured, self.was_closed = 0, False
+        try:
+            writer.write(head.encode())
+            while self.poured < MOST_POURED:
+                writer.write(block)
+                self.poured += len(block)
+                await writer.drain()
+        except ConnectionError:
+            self.was_closed = True
 
     async def _stream(self, headers, own, writer):
         """Returns whether the connection may go on."""
@@ -222,7 +274,7 @@
         return True
 
     def entry(self, service, state="ready", **changes):
-        fields = {"backend": service, "address": self.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "sequence": 1, "born": 1000}
+        fields = {"backend": service, "address": self.address, "zone": "zone-a", "version": "v1", "slots": self.slots, "state": state, "cold_left_ms": 0, "sequence": 1, "born": 1000}
         return {**fields, **changes}
 
 
