Follow the store through a few instances of each failure domain

The users saw configurations that were confirmed and not in force in time (CONFIG) on a grown site.

Two causes, both that the store was the only way to a change for each instance and told each change whole: - While the store turned 27 of 77 instances away, versions 7 to 20 came into force at 50 of them in about 0.2 s, and at the 27 only when they were let in again, 3 to 13 s later. - Let in again, they read version after version: four whole versions in an answer, 1.7 s for each answer on 10 Mbit/s. Version 59, confirmed at 28.1 s, was in force at the last one at 36.6 s, more than eight seconds after the store had begun to answer it again. 237 answers took over 250 ms longer than their wait. The calls of the store, the dearest price of the grown sites, grew with the instances for the same reason.

Change: one instance of each failure domain, and one more for each 16 of its instances, watches the store; those with the largest links come first. The others ask it as they would ask the store, and learn of each key only the last change, so that a series of versions costs a follower one. Every answer states how old it is, and confirmations of keys count from there. An instance that cannot use a source, or finds it over 2 s behind, goes on with the next: another reader, the store, readers of other domains. An instance never takes an older revision of a key.

--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -37,6 +37,7 @@
 #include "peers/PeerReport.h"
 #include "peers/PlaceKeeper.h"
 #include "peers/PlaceMessages.h"
+#include "peers/StoreReaders.h"
 #include "placement/PlaceBroker.h"
 #include "placement/PromptMemory.h"
 #include "placement/ServerChoice.h"
--- a/modules/borageslip_traffic/peers/Member.h
+++ b/modules/borageslip_traffic/peers/Member.h
@@ -13,6 +13,7 @@
     boost::asio::ip::tcp::endpoint callerAddress;
     boost::asio::ip::udp::endpoint peerAddress;
     boost::asio::ip::tcp::endpoint metricsAddress {}; ///< Unspecified when the instance has not registered it.
+    double linkCapacity = 0; ///< Mbit/s; 0 when the instance has not stated it.
 
     bool operator==(const Member&) const = default;
 };
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -115,6 +115,23 @@
     return addresses;
 }
 
+std::vector<std::optional<asio::ip::tcp::endpoint>> PeerLink::storeSources(const Member& own) const
+{
+    const auto now = m_engine.clock().now();
+    std::vector<ReaderCandidate> others;
+    std::vector<asio::ip::tcp::endpoint> addresses;
+    for (const auto& [name, listed] : m_members) {
+        if (!m_board.isHeard(name, now) || !m_board.takesCallers(name))
+            continue;
+        others.push_back({ name, listed.member.failureDomain, listed.member.linkCapacity });
+        addresses.emplace_back(listed.member.peerAddress.address(), listed.member.peerAddress.port());
+    }
+    std::vector<std::optional<asio::ip::tcp::endpoint>> sources;
+    for (const auto& source : sourcesFor({ own.name, own.failureDomain, own.linkCapacity }, others))
+        sources.push_back(source ? std::optional(addresses[*source]) : std::nullopt);
+    return sources;
+}
+
 asio::awaitable<void> PeerLink::receiveAll()
 {
     std::vector<uint8_t> datagram(maxDatagram);
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -5,6 +5,7 @@
 #include "../net/Signal.h"
 #include "PeerBoard.h"
 #include "PlaceKeeper.h"
+#include "StoreReaders.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -46,6 +47,10 @@
     boost::asio::awaitable<PlaceOutcome> requestPlace(BackendServer&, PlaceTerms) override;
     void useChanged(const BackendServer&) override;
 
+    /** From where this instance follows the store, the best first; nothing stands for the store itself.
+        @param own capacity and failure domain of this instance. */
+    std::vector<std::optional<boost::asio::ip::tcp::endpoint>> storeSources(const Member& own) const;
+
     size_t heardCount() const { return m_board.heardCount(m_engine.clock().now()); }
     Duration oldestReportAge() const { return m_board.oldestAge(m_engine.clock().now()); }
     size_t memberCount() const { return m_members.size(); }
--- /dev/null
+++ b/tests/platform/StoreCopyTests.cpp
@@ -0,0 +1,89 @@
+#include "../../platform/StoreCopyServer.h"
+
+#include <borageslip_traffic/peers/StoreReaders.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace borageslip;
+using namespace borageslip::platform;
+using namespace std::chrono_literals;
+
+// Guards against a follower that misses a removal, or for which an older version comes back.
+TEST_CASE("a copy of the store tells the last change of each key after a revision")
+{
+    StoreCopy copy;
+    CHECK(copy.apply({ "a", "1", 5 }));
+    CHECK(copy.apply({ "b", "1", 6 }));
+    CHECK(copy.apply({ "a", "2", 7 }));
+    CHECK_FALSE(copy.apply({ "a", "1", 5 }));
+    CHECK(copy.apply({ "b", {}, 8, true }));
+    CHECK_FALSE(copy.apply({ "b", "1", 6 }));
+    copy.setAsOf(8);
+    const auto changes = copy.changesAfter(5);
+    REQUIRE(changes);
+    REQUIRE(changes->size() == 2);
+    CHECK(changes->front().bytes == "2");
+    CHECK(changes->back().isDeleted);
+    CHECK(copy.items().size() == 1);
+    CHECK(copy.keysWithout({}) == std::vector<std::string> { "a" });
+    CHECK(copy.changesAfter(8)->empty());
+}
+
+// Guards against memory that grows with each key that ever was, and against followers that miss forgotten removals.
+TEST_CASE("a copy of the store forgets old removals and says so")
+{
+    StoreCopy copy;
+    for (uint64_t i = 1; i <= 3000; ++i) {
+        copy.apply({ "k" + std::to_string(i), "v", 2 * i });
+        copy.apply({ "k" + std::to_string(i), {}, 2 * i + 1, true });
+    }
+    CHECK_FALSE(copy.changesAfter(10));
+    CHECK(copy.changesAfter(5990)->size() <= 10);
+    CHECK(copy.items().empty());
+}
+
+// Guards against a follower that takes an old answer for a confirmation.
+TEST_CASE("an answer from a copy says how old it is, and bad requests get no list")
+{
+    StoreCopy copy;
+    copy.apply({ "a", std::string("\0x", 2), 5 });
+    copy.setAsOf(6);
+    CHECK(answerFromCopy(copy, std::nullopt, "/borageslip/kv-range?path_prefix=").status == 503);
+    const auto answer = answerFromCopy(copy, 700ms, "/borageslip/kv-watch?path_prefix=&after=2&wait_ms=500");
+    const auto document = nlohmann::json::parse(answer.body);
+    CHECK(document["confirmed_age_ms"] == 700);
+    CHECK(document["as_of"] == 6);
+    CHECK(document["events"].size() == 1);
+    CHECK(answerFromCopy(copy, 0ms, "/borageslip/kv-watch?path_prefix=&after=x").status == 400);
+    CHECK(answerFromCopy(copy, 0ms, "/borageslip/kv-watch").status == 400);
+    CHECK(answerFromCopy(copy, 0ms, "/borageslip/kv-txn").status == 404);
+}
+
+// Guards against calls of the store that grow with the fleet, and against instances without any way to a change.
+TEST_CASE("a few instances of each failure domain read the store, and each instance has several sources")
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < 90; ++i)
+        names.push_back("entry-" + std::to_string(i));
+    const auto candidate = [&](size_t i) { return ReaderCandidate { names[i], i % 3 == 0 ? "a" : i % 3 == 1 ? "b" : "c", i < 6 ? 200.0 : 10.0 }; };
+    int readers = 0;
+    for (size_t own = 0; own < names.size(); ++own) {
+        std::vector<ReaderCandidate> others;
+        for (size_t i = 0; i < names.size(); ++i) {
+            if (i != own)
+                others.push_back(candidate(i));
+        }
+        const auto sources = sourcesFor(candidate(own), others);
+        CHECK(std::count(sources.begin(), sources.end(), std::nullopt) == 1);
+        CHECK(sources.size() >= 4);
+        if (!sources.front())
+            ++readers;
+        if (!sources.front())
+            continue;
+        CHECK(others[*sources.front()].failureDomain == candidate(own).failureDomain);
+        CHECK(others[*sources.front()].capacity == 200);
+    }
+    CHECK(readers == 6);
+    CHECK(sourcesFor(candidate(0), {}) == std::vector<std::optional<size_t>> { std::nullopt });
+}
