Close connections of servers whose unwanted answers have no end

The rest of an answer to another request, and of a server's refusal, was read to its end: 64 MB and on until the caller's time limit. It is now cut off after 64 KB.

--- a/modules/borageslip_traffic/engine/AnswerSource.cpp
+++ b/modules/borageslip_traffic/engine/AnswerSource.cpp
@@ -7,6 +7,12 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+    constexpr size_t maxDiscarded = 64 * 1024; ///< Bytes; a new connection is cheaper than more of an answer that nobody wants.
+
+}
+
 AnswerSource::AnswerSource(ServerConnection& connection, std::span<char> scratch, AnswerReader::Body body)
     : m_connection(connection)
     , m_scratch(scratch)
@@ -32,9 +38,13 @@
     co_return isOk(m_reader.feed(m_connection.unread));
 }
 
-asio::awaitable<bool> AnswerSource::readToEnd()
+asio::awaitable<bool> AnswerSource::discardRest()
 {
+    size_t discarded = 0;
     while (!m_reader.isDone()) {
+        discarded += m_reader.takeBody().size();
+        if (discarded > maxDiscarded)
+            co_return false;
         const bool isOpen = co_await readMore();
         if (!isOpen)
             co_return false;
--- a/modules/borageslip_traffic/engine/AnswerSource.h
+++ b/modules/borageslip_traffic/engine/AnswerSource.h
@@ -22,7 +22,9 @@
 
     boost::asio::awaitable<bool> readHead();
     boost::asio::awaitable<bool> readMore();
-    boost::asio::awaitable<bool> readToEnd();
+
+    /** Reads the rest of an answer that nobody wants. False when the connection was lost or the rest has no end in sight. */
+    boost::asio::awaitable<bool> discardRest();
 
 private:
     ServerConnection& m_connection;
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -316,7 +316,7 @@
         const auto facts = m_engine.protocol().answerFacts(reader.head().result_int(), reader.head());
         if (!isAnswerOwn(state, facts)) {
             logEvent(Severity::Warning, "foreign-answer", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "answer", facts.requestId } });
-            const bool isWhole = co_await source.readToEnd();
+            const bool isWhole = co_await source.discardRest();
             if (!isWhole || reader.framing() == BodyFraming::UntilClose)
                 co_return lost(state, "connection lost after an answer to another request");
             continue;
@@ -377,7 +377,7 @@
     state.chart.fire(AttemptEvent::NotRun);
     m_lastError = { ErrorKind::EngineRefused, "the backend server did not take the request" };
     logEvent(Severity::Info, "not-run", { { "request", m_facts.requestId }, { "server", state.server->description().id }, { "status", source.reader().head().result_int() } });
-    const bool isWhole = co_await source.readToEnd();
+    const bool isWhole = co_await source.discardRest();
     if (isWhole)
         release(state, source.reader());
     co_return AttemptEnd::NotRun;
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -15,7 +15,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from platform_standin import BackendServer, Store, configuration, settings, start_server  # noqa: E402
+from platform_standin import ENDLESS, BackendServer, Store, configuration, settings, start_server  # noqa: E402
 
 failures = []
 
@@ -437,6 +437,28 @@
     check("it gets requests again when it fails no more", back > 20, back)
 
 
+def resident_bytes(process):
+    return int(pathlib.Path(f"/proc/{process.pid}/statm").read_text().split()[1]) * 4096
+
+
+async def check_endless_answers(fleet):
+    """A server in trouble sends bytes that are no answer until the connection is closed."""
+    for behaviour in ENDLESS:
+        fleet.behave(behaviour)
+        before = resident_bytes(fleet.entry.process)
+        answer = await fleet.entry.ask("/book/a", "POST", body=b"x", identity=f"r-{behaviour}")
+        await asyncio.sleep(0.1)
+        poured = [server for server in fleet.servers if server.poured > 0]
+        grown = resident_bytes(fleet.entry.process) - before
+        check(f"a server's bytes without end are cut off ({behaviour})", poured and all(server.was_closed for server in poured), [(server.poured, server.was_closed) for server in fleet.servers])
+        check(f"they take no memory without bound ({behaviour})", grown < 4 * 1024 * 1024, grown)
+        check(f"no caller takes them for an answer ({behaviour})", answer.status in (0, 502, 503, 504) or not answer.is_complete, answer)
+        for server in fleet.servers:
+            server.poured = 0
+    fleet.behave("sound")
+    check("the instance serves afterwards", await fleet.entry.until(lambda: status_is(fleet.entry, "/read/a", 200), 10))
+
+
 async def check_store_outage(fleet):
     fleet.behave("sound")
     store, entry = fleet.store, fleet.entry
@@ -512,7 +534,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_handover, check_refusals, check_failures, check_streams, check_caller_leaves, check_smuggling, check_kept_connection, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_metrics, check_store_outage, check_stop, check_explain):
+            for case in (check_directory, check_handover, check_refusals, check_failures, check_streams, check_caller_leaves, check_smuggling, check_kept_connection, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_endless_answers, check_metrics, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
