End the process without destroying the instance below open requests

An instance that stopped while a server still sent bytes ended by SIGSEGV (entry_test: exit code -11, seen once, with the case of answers without end): the event loop destroys the coroutines of open requests after the instance that they refer to. The process now ends without destroying either.

--- a/apps/borageslip-entry/Main.cpp
+++ b/apps/borageslip-entry/Main.cpp
@@ -3,6 +3,7 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -98,5 +99,6 @@
     }
     const SignalHandler signals(context, instance, settingsPath);
     context.run();
-    return Success;
+    // Requests that are open at the end of the grace still refer to the instance, so nothing of it may be destroyed.
+    std::quick_exit(Success);
 }
