--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -272,7 +272,8 @@
     const auto answer = m_pendingRequests.extract(message.sequence).mapped().answer;
     if (const auto member = m_members.find(name); member != m_members.end())
         noteAnswered(member->second, answer.has_value());
-    const auto outcome = !answer ? PlaceOutcome::Unanswered : answer->isGranted ? PlaceOutcome::Granted : PlaceOutcome::Denied;
+    const auto outcome = !answer ? PlaceOutcome::Unanswered : answer->isGranted ? PlaceOutcome::Granted
+                                                                                : PlaceOutcome::Denied;
     ++m_engine.counts().placeRequests.at(static_cast<size_t>(outcome));
     // The answer is newer than the reports.
     if (answer) {
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "../engine/TrafficEngine.h"
-#include "Member.h"
 #include "../net/Signal.h"
+#include "Member.h"
 #include "PeerBoard.h"
 #include "PlaceKeeper.h"
 #include "StoreReaders.h"
--- a/tests/borageslip_traffic/FleetPlacementTests.cpp
+++ b/tests/borageslip_traffic/FleetPlacementTests.cpp
@@ -1,8 +1,8 @@
 #include <borageslip_core/borageslip_core.h>
 #include <borageslip_traffic/borageslip_traffic.h>
 
-#include <catch2/catch.hpp>
 #include <algorithm>
+#include <catch2/catch.hpp>
 #include <functional>
 #include <map>
 #include <random>
--- a/tests/platform/StoreCopyTests.cpp
+++ b/tests/platform/StoreCopyTests.cpp
@@ -66,7 +66,9 @@
     std::vector<std::string> names;
     for (int i = 0; i < 90; ++i)
         names.push_back("entry-" + std::to_string(i));
-    const auto candidate = [&](size_t i) { return ReaderCandidate { names[i], i % 3 == 0 ? "a" : i % 3 == 1 ? "b" : "c", i < 6 ? 200.0 : 10.0 }; };
+    const auto candidate = [&](size_t i) { return ReaderCandidate { names[i], i % 3 == 0 ? "a" : i % 3 == 1 ? "b"
+                                                                                                            : "c",
+                                               i < 6 ? 200.0 : 10.0 }; };
     int readers = 0;
     for (size_t own = 0; own < names.size(); ++own) {
         std::vector<ReaderCandidate> others;
