Read large values from the store instead of over another instance's link

An instance now tells its followers only that a key has changed when the value is over 32 KB. They read it from the store, each over its own link, and from that instance when the store turns them away. Test: fleet_test with 1,500 more routes, StoreCopyTests.

--- a/tests/platform/StoreCopyTests.cpp
+++ b/tests/platform/StoreCopyTests.cpp
@@ -60,10 +60,25 @@
     CHECK(answerFromCopy(copy, 0ms, "/borageslip/kv-txn").status == 404);
 }
 
+// Guards against a large configuration that one instance sends to many others over its own link.
+TEST_CASE("large values are left out of an answer from a copy unless they are asked for")
+{
+    StoreCopy copy;
+    copy.apply({ "op/config", std::string(40000, 'x'), 5 });
+    copy.apply({ "servers/a", "x", 6 });
+    const auto answer = answerFromCopy(copy, 0ms, "/borageslip/kv-watch?path_prefix=&after=0&wait_ms=0");
+    CHECK(answer.body.size() < 400);
+    CHECK(nlohmann::json::parse(answer.body)["events"][0]["omitted"] == true);
+    const auto full = nlohmann::json::parse(answerFromCopy(copy, 0ms, "/borageslip/kv-range?path_prefix=op/config&large=1").body);
+    CHECK(full["items"].size() == 1);
+    CHECK(full["items"][0]["value"].get<std::string>().size() > 40000);
+}
+
 // Guards against calls of the store that grow with the fleet, and against instances without any way to a change.
 TEST_CASE("a few instances of each failure domain read the store, and each instance has several sources")
 {
     std::vector<std::string> names;
+    names.reserve(90);
     for (int i = 0; i < 90; ++i)
         names.push_back("entry-" + std::to_string(i));
     const auto candidate = [&](size_t i) { return ReaderCandidate { names[i], i % 3 == 0 ? "a" : i % 3 == 1 ? "b"
@@ -72,6 +87,7 @@
     int readers = 0;
     for (size_t own = 0; own < names.size(); ++own) {
         std::vector<ReaderCandidate> others;
+        others.reserve(names.size());
         for (size_t i = 0; i < names.size(); ++i) {
             if (i != own)
                 others.push_back(candidate(i));
--- a/tests/platform/fleet_test.py
+++ b/tests/platform/fleet_test.py
@@ -17,8 +17,9 @@
 INSTANCES = 5
 
 
-def route_added(version):
+def route_added(version, more=0):
     document = configuration(version)
+    document["routes"] += [{**document["routes"][0], "name": f"more-{number}", "path_prefix": f"/more-{number}/"} for number in range(more)]
     document["routes"].append({**document["routes"][0], "name": "new", "path_prefix": f"/new-{version}/"})
     return document
 
@@ -27,15 +28,15 @@
     return (await entry.ask(path)).status == 200
 
 
-async def check_turned_away(fleet, how, version):
+async def check_turned_away(fleet, how, version, more=0):
     """An instance that the store turns away has no other way to a change that the store has confirmed."""
     store, entries = fleet
     away = entries[-1]
     store.turned_away = how
     await asyncio.sleep(0.3)
-    store.put_json("op/config", route_added(version))
+    store.put_json("op/config", route_added(version, more))
     results = await asyncio.gather(*(entry.until(lambda entry=entry: served(entry, f"/new-{version}/a"), CHANGE_BOUND) for entry in entries))
-    check(f"a change is in force in time at all instances, also at one that the store turns away ({how})", all(results), results)
+    check(f"a change is in force in time at all instances, also at one that the store turns away ({how}, {more} more routes)", all(results), results)
     await asyncio.sleep(4)
     check(f"keys are accepted there as long as another instance confirms them ({how})", await served(away, "/read/a") and await away.is_ready())
     store.put_json("op/config", {**route_added(version + 1), "tenants": [{"name": "account-1", "api_keys": ["key-2"], "priority": 1}]})
@@ -112,6 +113,7 @@
             await asyncio.wait_for(check_store_calls(fleet), 60)
             await asyncio.wait_for(check_turned_away(fleet, "busy", 20), 60)
             await asyncio.wait_for(check_turned_away(fleet, "silent", 30), 60)
+            await asyncio.wait_for(check_turned_away(fleet, "busy", 35, more=1500), 60)
             await asyncio.wait_for(check_reader_lost(fleet), 60)
         finally:
             for entry in entries:
