Grant the slots of small services from one queue at a coordinator

Cause: each of hundreds of instances kept its own queue, tried again every 20 ms and gave up after half of the objective. A freed slot stayed free until somebody tried.

Change: a service without prompt prefixes has one coordinator, which keeps the count of requests at each server and one queue for the requests of all instances. Instances send their complete state, so that loss, repetition, reordering and restarts need no further rules.

--- a/modules/borageslip_traffic/configuration/TrafficConfiguration.cpp
+++ b/modules/borageslip_traffic/configuration/TrafficConfiguration.cpp
@@ -43,6 +43,10 @@
 TrafficConfigurationBuilder& TrafficConfigurationBuilder::addRoute(Route route)
 {
     m_configuration.m_routesByHost[route.host].push_back(m_configuration.m_routes.size());
+    if (route.reusesPrefixes) {
+        for (const auto& target : route.services)
+            m_configuration.m_prefixServices.insert(target.service);
+    }
     m_configuration.m_routes.push_back(std::move(route));
     return *this;
 }
@@ -50,6 +54,8 @@
 TrafficConfigurationBuilder& TrafficConfigurationBuilder::addService(TrafficService service)
 {
     auto name = service.name;
+    if (service.engine)
+        m_configuration.m_prefixServices.insert(name);
     m_configuration.m_services.insert_or_assign(std::move(name), std::move(service));
     return *this;
 }
--- a/modules/borageslip_traffic/configuration/TrafficConfiguration.h
+++ b/modules/borageslip_traffic/configuration/TrafficConfiguration.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 
@@ -53,6 +54,9 @@
 
     const TrafficService* service(std::string_view name) const;
 
+    /** Whether the service has model engines or receives requests that are placed by their prompt prefixes. */
+    bool reusesPrefixes(std::string_view service) const { return m_prefixServices.contains(service); }
+
     /** Whether requests need an API key, unless their route allows anonymous requests. */
     bool hasAccounts() const { return !m_accounts.empty(); }
 
@@ -67,6 +71,7 @@
     std::vector<Route> m_routes;
     std::map<std::string, std::vector<size_t>, std::less<>> m_routesByHost; ///< Indexes into m_routes, longest path prefix first.
     std::map<std::string, TrafficService, std::less<>> m_services;
+    std::set<std::string, std::less<>> m_prefixServices;
     std::vector<TrafficAccount> m_accounts;
     std::map<std::string, size_t, std::less<>> m_accountByKey;
 };
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -3,6 +3,7 @@
 #include "ServerReservation.h"
 
 #include <borageslip_core/errors/Invariant.h>
+#include <borageslip_core/identity/Hash.h>
 #include <borageslip_core/logging/Log.h>
 
 #include <algorithm>
@@ -22,6 +23,7 @@
 
     constexpr Duration connectLimit = milliseconds(250);
     constexpr int maxDenials = 4; ///< Consecutive reservation denials after which a request is queued.
+    constexpr int maxUnknownServers = 3; ///< Granted servers that are not listed at this instance, after which a request is rejected.
     constexpr int maxUnreachableServers = 3; ///< Connection failures to backend servers after which a request fails.
     constexpr int maxMismatchedResponses = 2; ///< Responses to other requests that are discarded on one connection.
     constexpr size_t maxBufferedResponseBytes = 256 * 1024; ///< A longer response is forwarded while it is still arriving.
@@ -160,6 +162,8 @@
 {
     if (!m_engine.hasServersInService(m_admitted.service))
         co_return Error { ErrorKind::NoEngineAvailable, "service \"" + m_admitted.service + "\" has no backend server in service" };
+    if (m_engine.usesServiceQueue(m_admitted))
+        co_return co_await awaitSlot();
     const bool isRetry = !m_triedServers.empty();
     if (isRetry || m_engine.waitQueue(m_admitted.service).isEmpty()) {
         auto reservation = co_await acquireReservation();
@@ -227,6 +231,67 @@
     co_return overloaded;
 }
 
+SlotDemand Exchange::slotDemand() const
+{
+    const bool isStream = route().kind == RequestKind::Stream;
+    // The timeout of a stream covers the whole stream, whereas its caller is served from the first event on.
+    const auto serviceTime = isStream ? Duration::zero() : m_engine.serviceTime(m_admitted.service);
+    const StartLimits limits = startLimits(m_arrivedAt, m_deadline, route().latencyObjective, serviceTime, isStream ? ResponseShape::Stream : ResponseShape::Whole);
+    return { m_admitted.service, m_admitted.requestPriority(), hashBytes(m_admitted.account), limits.onTimeUntil, limits.startUntil, m_triedServers };
+}
+
+asio::awaitable<std::unique_ptr<SlotTicket>> Exchange::awaitDecision(const SlotDemand& demand)
+{
+    auto ticket = m_engine.reservationBroker()->requestSlot(demand, [this] { m_wakeEvent.notify(); });
+    while (m_stopReason == StopReason::None && ticket->outcome() == SlotTicket::Outcome::Waiting) {
+        const auto left = demand.startUntil - m_engine.clock().now();
+        if (left <= Duration::zero())
+            break;
+        co_await m_wakeEvent.waitFor(left);
+    }
+    ++m_engine.counts().slotRequests.at(static_cast<size_t>(ticket->outcome()));
+    m_record.recordCoordinator(ticket->coordinator());
+    co_return ticket;
+}
+
+Error Exchange::rejectionError(const SlotTicket& ticket)
+{
+    m_expectedWait = ticket.retryAfter();
+    // After an attempt, its failure says more than the queue.
+    if (!m_triedServers.empty())
+        return m_lastError;
+    return { ErrorKind::Overloaded, "no slot of \"" + m_admitted.service + "\" is expected to become free in time" };
+}
+
+asio::awaitable<Result<Exchange::ReservationPtr>> Exchange::awaitSlot()
+{
+    auto demand = slotDemand();
+    const auto queuedAt = m_engine.clock().now();
+    for (int unknown = 0; unknown < maxUnknownServers && m_stopReason == StopReason::None; ++unknown) {
+        auto ticket = co_await awaitDecision(demand);
+        auto server = m_engine.servers().find(ticket->server());
+        if (ticket->outcome() == SlotTicket::Outcome::Unanswered) {
+            server = m_engine.choose(m_admitted, demand.excluded);
+            if (server)
+                ticket->useWithoutGrant(server->hash());
+        }
+        const bool isUsable = server && server->isInService();
+        if (isUsable && m_stopReason == StopReason::None) {
+            recordWait(queuedAt);
+            auto reservation = std::make_shared<detail::ServerReservation>(m_engine, server, 0, std::move(ticket));
+            co_return reservation;
+        }
+        if (ticket->outcome() != SlotTicket::Outcome::Granted) {
+            recordWait(queuedAt);
+            co_return rejectionError(*ticket);
+        }
+        // The coordinator knows the server, and this instance does not or no longer.
+        demand.excluded.push_back(ticket->server());
+    }
+    recordWait(queuedAt);
+    co_return Error { ErrorKind::Overloaded, "no known backend server of \"" + m_admitted.service + "\" has a free slot" };
+}
+
 asio::awaitable<Exchange::AttemptResult> Exchange::attempt(ReservationPtr reservation)
 {
     const auto server = reservation->server();
@@ -514,7 +579,7 @@
     BORAGESLIP_INVARIANT(!m_mayHaveRun || failure.mayHaveRun(), "I3", "a request that may have run was reported as not run");
     countOutcome(failure.mayHaveRun() ? &TrafficCounts::failed : &TrafficCounts::refused);
     if (!failure.mayHaveRun() && failure.isRetryable())
-        failure.retryAfter = m_engine.retryAfter(m_admitted.route != nullptr ? timeLeft() : m_metadata.timeLeft.value_or(milliseconds(0)));
+        failure.retryAfter = m_engine.retryAfter(m_admitted.route != nullptr ? timeLeft() : m_metadata.timeLeft.value_or(milliseconds(0)), m_expectedWait);
     logOutcome(Severity::Warning, "refused", errorTraits(failure.kind).name, failure.detail);
     co_await m_sink.sendError(failure);
 }
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -70,6 +70,12 @@
     boost::asio::awaitable<Result<ReservationPtr>> awaitReservation();
     boost::asio::awaitable<Result<ReservationPtr>> waitInQueue();
 
+    /** Waits for a slot from the queue of the service. */
+    boost::asio::awaitable<Result<ReservationPtr>> awaitSlot();
+    boost::asio::awaitable<std::unique_ptr<SlotTicket>> awaitDecision(const SlotDemand&);
+    SlotDemand slotDemand() const;
+    Error rejectionError(const SlotTicket&);
+
     /** Chooses a backend server and reserves capacity on it; null if no server has any. */
     boost::asio::awaitable<ReservationPtr> acquireReservation();
     boost::asio::awaitable<ReservationOutcome> requestReservation(BackendServer&);
@@ -117,6 +123,7 @@
     bool m_hasReservedRetry = false; ///< A retry was taken from the budget and has not been used yet.
     bool m_mayHaveRun = false;
     bool m_isOutcomeCounted = false;
+    std::chrono::milliseconds m_expectedWait { 0 }; ///< Until there is capacity, as told by the coordinator of the service.
     Error m_lastError { ErrorKind::NoEngineAvailable, "" };
     SseEventBuffer m_events;
 };
--- a/modules/borageslip_traffic/engine/ExchangeRecord.cpp
+++ b/modules/borageslip_traffic/engine/ExchangeRecord.cpp
@@ -22,6 +22,8 @@
         { "knowledge_age_ms", toMilliseconds(engine.storeDataAge()).count() },
         { "sends", std::move(sends) },
     };
+    if (!m_coordinator.empty())
+        fields["coordinator"] = m_coordinator;
     if (!detail.empty())
         fields["detail"] = detail;
     if (admitted.route != nullptr) {
--- a/modules/borageslip_traffic/engine/ExchangeRecord.h
+++ b/modules/borageslip_traffic/engine/ExchangeRecord.h
@@ -27,6 +27,9 @@
     /** Adds time that the request waited for a reservation. */
     void recordWait(Duration time) { m_waited += time; }
 
+    /** Records the instance that granted or rejected a slot; empty if none answered. */
+    void recordCoordinator(std::string name) { m_coordinator = std::move(name); }
+
     /** Records an attempt. The request must already count in the in-flight number of the server. */
     void recordSend(const BackendServer&, const TrafficEngine&);
 
@@ -45,6 +48,7 @@
     std::string m_requestId;
     TimePoint m_arrivedAt;
     Duration m_waited {};
+    std::string m_coordinator {};
     std::vector<Send> m_sends;
 };
 
--- a/modules/borageslip_traffic/engine/ServerReservation.h
+++ b/modules/borageslip_traffic/engine/ServerReservation.h
@@ -8,13 +8,15 @@
 
 /** Counts one request against the capacity of a backend server, with the prompt tokens that the server has to prefill.
 
-    The request counts from construction, before the reservation has been granted, until destruction. */
+    The request counts from construction, before the reservation has been granted, until destruction. A slot granted from
+    the queue of the service is released with it. */
 class ServerReservation {
 public:
-    ServerReservation(TrafficEngine& engine, BackendServerPtr server, int64_t tokens)
+    ServerReservation(TrafficEngine& engine, BackendServerPtr server, int64_t tokens, std::unique_ptr<SlotTicket> ticket = nullptr)
         : m_engine(engine)
         , m_server(std::move(server))
         , m_tokens(tokens)
+        , m_ticket(std::move(ticket))
     {
         m_server->beginRequest();
         m_server->addPendingPrefill(m_tokens);
@@ -53,6 +55,7 @@
     TrafficEngine& m_engine;
     BackendServerPtr m_server;
     int64_t m_tokens;
+    std::unique_ptr<SlotTicket> m_ticket; ///< Null unless the slot was granted from the queue of the service.
     bool m_isConfirmed = false;
 };
 
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -135,6 +135,11 @@
     return { static_cast<uint32_t>(keepsReserve ? PriorityReserve::unreservedSlots(slots) : slots), hasAffinity ? static_cast<uint64_t>(m_settings.choice.pendingPrefill) : 0 };
 }
 
+bool TrafficEngine::usesServiceQueue(const AdmittedRequest& admitted) const
+{
+    return m_reservationBroker != nullptr && !admitted.configuration->reusesPrefixes(admitted.service);
+}
+
 bool TrafficEngine::hasServersInService(std::string_view service) const
 {
     const auto servers = m_servers.ofService(service);
@@ -221,9 +226,9 @@
     serviceState(service).waitQueue.wakeFirst();
 }
 
-std::chrono::milliseconds TrafficEngine::retryAfter(std::chrono::milliseconds timeLeft)
+std::chrono::milliseconds TrafficEngine::retryAfter(std::chrono::milliseconds timeLeft, std::chrono::milliseconds expectedWait)
 {
-    return jitteredRetryAfter(timeLeft, m_random);
+    return jitteredRetryAfter(timeLeft, m_random, expectedWait);
 }
 
 }
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -107,6 +107,11 @@
 
     /** Limits up to which the server may be loaded for this request. */
     ReservationLimits reservationLimits(const BackendServer&, const AdmittedRequest&);
+
+    /** Whether the slots of the service are granted from one queue for the fleet: it has no model engines and no route
+        that places requests by their prompt prefixes. */
+    bool usesServiceQueue(const AdmittedRequest&) const;
+    const std::string& failureDomain() const { return m_settings.failureDomain; }
     const ServerChoiceLimits& choiceLimits() const { return m_settings.choice; }
 
     bool hasServersInService(std::string_view service) const;
@@ -125,8 +130,9 @@
     /** To be called when a request on a backend server has ended. Wakes the first request in the service's queue. */
     void onReservationReleased(const std::string& service);
 
-    /** Retry delay for a rejected caller. Randomised, so that rejected callers do not all retry at once. */
-    std::chrono::milliseconds retryAfter(std::chrono::milliseconds timeLeft);
+    /** Retry delay for a rejected caller. Randomised, so that rejected callers do not all retry at once.
+        @param expectedWait time until there is capacity; zero when not known. */
+    std::chrono::milliseconds retryAfter(std::chrono::milliseconds timeLeft, std::chrono::milliseconds expectedWait);
 
     ServerTable& servers() { return m_servers; }
     const CallerProtocol& protocol() const { return m_protocol; }
--- a/modules/borageslip_traffic/limits/RequestQueue.cpp
+++ b/modules/borageslip_traffic/limits/RequestQueue.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr int waitDivisor = 2; ///< A request waits for at most this fraction of its latency objective.
+    constexpr int serviceTimeMargin = 2; ///< Many requests take up to twice the mean service time.
     constexpr double tokensPerUnit = 1000; ///< Tokens of a short prompt and its answer, which cost one unit.
 
 }
@@ -90,4 +91,12 @@
     return std::min(deadline - serviceTime, arrivedAt + latencyObjective / waitDivisor);
 }
 
+StartLimits startLimits(TimePoint arrivedAt, TimePoint deadline, Duration latencyObjective, Duration serviceTime, ResponseShape shape)
+{
+    const auto halfTime = arrivedAt + (deadline - arrivedAt) / 2;
+    const auto longest = shape == ResponseShape::Stream ? std::min(halfTime, arrivedAt + 2 * latencyObjective) : halfTime;
+    const auto startUntil = std::min(deadline - serviceTime, longest);
+    return { std::min(startUntil, arrivedAt + std::max(latencyObjective / waitDivisor, latencyObjective - serviceTimeMargin * serviceTime)), startUntil };
+}
+
 }
--- a/modules/borageslip_traffic/limits/RequestQueue.h
+++ b/modules/borageslip_traffic/limits/RequestQueue.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../peers/ServiceMessages.h"
+
 #include <borageslip_routing/limits/FairQueue.h>
 
 #include <map>
@@ -9,16 +11,6 @@
 constexpr size_t maxWaitingRequests = 256; ///< Per service and instance.
 constexpr Duration queueCheckInterval = std::chrono::milliseconds(20); ///< Polling is needed because capacity freed by other instances causes no notification.
 
-/** Priority of a waiting request: compared by client account first, then by route. Lower values are more urgent; 0 is
-    the most urgent. */
-struct RequestPriority {
-    int account = 0;
-    int route = 0;
-
-    // clang-tidy 14 mistakes the zero in rewritten comparisons for a null pointer.
-    auto operator<=>(const RequestPriority&) const = default; // NOLINT(modernize-use-nullptr)
-};
-
 /** Bounded queue of the requests that wait for a backend server of one service. Ordered by priority, then by fair
     queueing among client accounts, then by deadline.
 
@@ -71,4 +63,22 @@
     @param serviceTime typical time from the send to the end of the answer; zero when not known. */
 TimePoint latestStart(TimePoint arrivedAt, TimePoint deadline, Duration latencyObjective, Duration serviceTime);
 
+/** How a response arrives. */
+enum class ResponseShape {
+    Whole,
+    Stream, ///< As events; the latency objective is measured up to the first one.
+};
+
+/** Times up to which it is useful to start a request that waits for a slot. */
+struct StartLimits {
+    TimePoint onTimeUntil {}; ///< A later start misses the latency objective.
+    TimePoint startUntil {}; ///< Last useful start.
+};
+
+/** Start limits of a request that waits in the queue of its service. A late response is still useful to its caller, but
+    a request that has waited for half of its time limit is rejected, so that its caller has time to return. The caller
+    of a stream leaves earlier, when the first event is missing for several times the objective.
+    @param serviceTime typical time from the send to the end of the answer; zero when not known. */
+StartLimits startLimits(TimePoint arrivedAt, TimePoint deadline, Duration latencyObjective, Duration serviceTime, ResponseShape);
+
 }
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -100,6 +100,15 @@
         return family;
     }
 
+    MetricFamily slotRequests(const TrafficCounts& counts)
+    {
+        constexpr std::array<const char*, SlotTicket::outcomeCount> names { "withdrawn", "granted", "rejected", "unanswered" };
+        auto family = makeFamily("borageslip_entry_slot_requests_total", "Requests for slots from the queue of a service, by outcome", MetricType::Counter);
+        for (size_t i = 0; i < names.size(); ++i)
+            addSample(family, "outcome", names.at(i), static_cast<double>(counts.slotRequests.at(i)));
+        return family;
+    }
+
     /** Resident memory of this process in bytes; 0 if it cannot be read. */
     double residentBytes()
     {
@@ -158,12 +167,15 @@
         histogram("borageslip_entry_wait_seconds", "Time that requests waited for a place, of those that had to wait", counts.waits),
         placements(counts),
         reservationRequests(counts),
+        slotRequests(counts),
         counter("borageslip_entry_prompt_tokens_total", "Prompt tokens of requests sent to backend servers", counts.promptTokens),
         counter("borageslip_entry_prompt_tokens_cached_total", "Prompt tokens expected to be cached where they were sent", counts.promptTokensCached),
         counter("borageslip_entry_retries_total", "Sends after a failed one, within the shared budget", counts.retries),
         counter("borageslip_entry_retries_denied_total", "Repeats that the shared budget did not allow", counts.retriesDenied),
         servers(m_engine),
         gauge("borageslip_entry_waiting", "Requests that wait for a place at a backend server", static_cast<double>(m_engine.waitingCount())),
+        gauge("borageslip_entry_queued_requests", "Requests of all instances in the service queues of this coordinator", static_cast<double>(m_peers.queuedRequestCount())),
+        gauge("borageslip_entry_coordinated_services", "Services whose slots this instance grants", static_cast<double>(m_peers.coordinatedServiceCount())),
         gauge("borageslip_entry_configuration_version", "Version of the configuration in force; 0 for none", static_cast<double>(version)),
         gauge("borageslip_entry_knowledge_age_seconds", "Time since the store last confirmed what is known", std::chrono::duration<double>(m_engine.storeDataAge()).count()),
         gauge("borageslip_entry_members", "Other instances that the store lists", static_cast<double>(m_peers.memberCount())),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "PeerLink.h"
 
+#include <borageslip_core/identity/Hash.h>
 #include <borageslip_core/logging/Log.h>
 
 #include <algorithm>
@@ -7,6 +8,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <tuple>
+#include <type_traits>
+#include <utility>
 
 namespace borageslip {
 
@@ -22,20 +26,24 @@
     constexpr int lostReportsBeforeExpiry = 8;
     constexpr int outcomeReportRepeats = 4; ///< Reports that repeat a server's outcomes after a change, because datagrams may be lost.
     constexpr Duration minReportLifetime = milliseconds(1200);
-    constexpr size_t maxDatagramBytes = 8 * 1024;
+    constexpr size_t maxDatagramBytes = 16 * 1024;
+    constexpr Duration coordinatorLifetime = milliseconds(50); ///< For which a ranked coordinator is reused.
     constexpr Duration replyTimeout = milliseconds(40); ///< A small fraction of the shortest latency objective.
     constexpr int timeoutsBeforeExclusion = 2; ///< A single timeout may be a lost datagram.
     constexpr Duration exclusionTime = std::chrono::seconds(2);
 
 }
 
-PeerLink::PeerLink(TrafficEngine& engine, std::string ownName)
+PeerLink::PeerLink(TrafficEngine& engine, std::string ownName, double ownCapacity)
     : m_engine(engine)
     , m_ownName(std::move(ownName))
+    , m_ownCapacity(ownCapacity)
     , m_incarnation(static_cast<uint64_t>(engine.clock().wallTime().time_since_epoch().count()))
     , m_socket(engine.executor())
     , m_timer(engine.executor())
     , m_reportTable(minReportLifetime)
+    , m_pollEvent(engine.executor())
+    , m_coordination(engine.clock(), *this, m_ownName, m_incarnation, engine.choiceLimits().capFactor)
 {
     m_engine.setReservationBroker(this);
 }
@@ -59,6 +67,8 @@
         m_engine.executor(), [this] { return receiveAll(); }, asio::detached);
     asio::co_spawn(
         m_engine.executor(), [this] { return reportPeriodically(); }, asio::detached);
+    asio::co_spawn(
+        m_engine.executor(), [this] { return pollCoordination(); }, asio::detached);
     return ok();
 }
 
@@ -77,6 +87,7 @@
     logEvent(Severity::Info, "member-listed", { { "member", member.name } });
     const auto name = member.name;
     m_members[name] = { std::move(member), m_engine.clock().now() };
+    m_coordinators.clear();
     m_reportTable.setLifetime(std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
     m_engine.setInstanceCount(m_members.size() + 1);
 }
@@ -88,6 +99,7 @@
         return;
     logEvent(Severity::Info, "member-removed", { { "member", name } });
     m_members.erase(found);
+    m_coordinators.clear();
     m_engine.setInstanceCount(m_members.size() + 1);
 }
 
@@ -96,6 +108,7 @@
     if (m_acceptsCallers == acceptsCallers)
         return;
     m_acceptsCallers = acceptsCallers;
+    m_coordinators.clear();
     logEvent(Severity::Info, "takes-callers", { { "value", acceptsCallers } });
     if (m_socket.is_open())
         sendReports();
@@ -154,12 +167,29 @@
 
 void PeerLink::receive(PeerMessage message, const udp::endpoint& sender)
 {
-    if (auto* report = std::get_if<PeerReport>(&message))
-        receiveReport(std::move(*report));
-    else if (const auto* request = std::get_if<ReservationMessage>(&message))
-        receiveReservationMessage(*request, sender);
-    else
-        receiveReservationReply(std::get<ReservationReply>(message));
+    std::visit([&](auto& content) {
+        using Content = std::decay_t<decltype(content)>;
+        if constexpr (!std::is_same_v<Content, ReservationReply>)
+            recordSender(content.sender);
+        if constexpr (std::is_same_v<Content, PeerReport>)
+            receiveReport(std::move(content));
+        else if constexpr (std::is_same_v<Content, ReservationMessage>)
+            receiveReservationMessage(content, sender);
+        else if constexpr (std::is_same_v<Content, ReservationReply>)
+            receiveReservationReply(content);
+        else
+            receiveCoordination(content, sender);
+    },
+        message);
+}
+
+void PeerLink::recordSender(std::string_view name)
+{
+    const auto found = m_members.find(name);
+    if (found == m_members.end() || !std::exchange(found->second.isSilent, false))
+        return;
+    m_coordinators.clear();
+    logEvent(Severity::Info, "member-heard-again", { { "member", name } });
 }
 
 void PeerLink::receiveReport(PeerReport report)
@@ -292,6 +322,134 @@
         send(encodeReservationMessage(usageMessage(server)), found->member.peerAddress);
 }
 
+std::unique_ptr<SlotTicket> PeerLink::requestSlot(SlotDemand demand, std::function<void()> onDecision)
+{
+    return m_coordination.requestSlot(std::move(demand), std::move(onDecision));
+}
+
+asio::awaitable<void> PeerLink::pollCoordination()
+{
+    while (m_socket.is_open()) {
+        const auto next = m_coordination.nextPoll();
+        if (next) {
+            const auto delay = std::max(Duration::zero(), *next - m_engine.clock().now());
+            co_await m_pollEvent.waitFor(delay);
+        } else {
+            co_await m_pollEvent.wait();
+        }
+        m_coordination.poll();
+    }
+}
+
+std::optional<std::string> PeerLink::rankCoordinators(std::string_view service) const
+{
+    const auto serviceHash = hashBytes(service);
+    const auto rank = [&](std::string_view name, double capacity) { return std::tuple(capacity, hashPair(serviceHash, hashBytes(name))); };
+    std::optional<std::string> best;
+    auto bestRank = rank("", -1);
+    const auto consider = [&](std::string_view name, double capacity) {
+        if (const auto candidate = rank(name, capacity); candidate > bestRank) {
+            best = name;
+            bestRank = candidate;
+        }
+    };
+    if (m_acceptsCallers)
+        consider(m_ownName, m_ownCapacity);
+    for (const auto& [name, listed] : m_members) {
+        if (isUsable(name))
+            consider(name, listed.member.linkCapacity);
+    }
+    return best;
+}
+
+std::optional<std::string> PeerLink::serviceCoordinator(std::string_view service) const
+{
+    const auto now = m_engine.clock().now();
+    auto found = m_coordinators.find(service);
+    if (found == m_coordinators.end())
+        found = m_coordinators.emplace(service, KnownCoordinator()).first;
+    if (now >= found->second.validUntil)
+        found->second = { rankCoordinators(service), now + coordinatorLifetime };
+    return found->second.name;
+}
+
+bool PeerLink::isUsable(std::string_view instance) const
+{
+    const auto found = m_members.find(instance);
+    if (found == m_members.end() || found->second.isSilent)
+        return false;
+    // A listed member of which no report has arrived yet may be the coordinator: all instances rank the same list.
+    return !m_reportTable.hasRecentReport(instance, m_engine.clock().now()) || m_reportTable.acceptsCallers(instance);
+}
+
+void PeerLink::recordSilence(std::string_view instance)
+{
+    if (const auto found = m_members.find(instance); found != m_members.end())
+        found->second.isSilent = true;
+    m_coordinators.clear();
+}
+
+template <typename Message>
+void PeerLink::receiveCoordination(const Message& message, const udp::endpoint& sender)
+{
+    // An instance that the store does not list, or not any more, still gets its reply.
+    m_currentSender = { message.sender, sender };
+    m_coordination.receive(message);
+    m_currentSender = {};
+}
+
+void PeerLink::sendTo(std::string_view instance, std::span<const uint8_t> bytes)
+{
+    if (!m_socket.is_open())
+        return;
+    const auto found = m_members.find(instance);
+    if (found != m_members.end())
+        send(bytes, found->second.member.peerAddress);
+    else if (instance == m_currentSender.name)
+        send(bytes, m_currentSender.endpoint);
+}
+
+void PeerLink::sendToAll(std::span<const uint8_t> bytes)
+{
+    if (!m_socket.is_open())
+        return;
+    for (const auto& [name, listed] : m_members)
+        send(bytes, listed.member.peerAddress);
+}
+
+uint64_t PeerLink::failureDomainOf(std::string_view instance) const
+{
+    if (instance == m_ownName)
+        return hashBytes(m_engine.failureDomain());
+    const auto found = m_members.find(instance);
+    return found == m_members.end() ? 0 : hashBytes(found->second.member.failureDomain);
+}
+
+std::vector<QueuedServer> PeerLink::serversOf(std::string_view service) const
+{
+    const auto now = m_engine.clock().now();
+    const auto& health = m_engine.servers().health(std::string(service));
+    std::vector<QueuedServer> servers;
+    for (const auto& server : m_engine.servers().ofService(service)) {
+        if (!server->isInService())
+            continue;
+        const double share = server->isEjected(now) ? 0 : health.share(server->hash());
+        servers.push_back({ server->hash(), server->description().slots, share, server->isCold(now), hashBytes(server->description().failureDomain) });
+    }
+    return servers;
+}
+
+std::vector<uint64_t> PeerLink::ejectedServersOf(std::string_view service) const
+{
+    const auto now = m_engine.clock().now();
+    std::vector<uint64_t> ejected;
+    for (const auto& server : m_engine.servers().ofService(service)) {
+        if (server->isInService() && server->isEjected(now))
+            ejected.push_back(server->hash());
+    }
+    return ejected;
+}
+
 asio::awaitable<void> PeerLink::reportPeriodically()
 {
     while (m_socket.is_open()) {
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -5,6 +5,7 @@
 #include "Member.h"
 #include "PeerReportTable.h"
 #include "ReservationCoordinator.h"
+#include "ServiceCoordination.h"
 #include "StoreReaders.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -22,11 +23,15 @@
     current totals, however old the reports are. The number of messages per request does not depend on the size of the
     fleet.
 
+    The slots of services without prompt prefixes are granted by one coordinator for the whole service, from one queue.
+    @see ServiceCoordination
+
     The report interval grows with the number of members, so that the rate of datagrams that an instance sends and
     receives does not depend on the size of the fleet. Not thread-safe: call it from the event loop that owns it. */
-class PeerLink final : public ReservationBroker {
+class PeerLink final : public ReservationBroker, private CoordinationHost {
 public:
-    PeerLink(TrafficEngine&, std::string ownName);
+    /** @param ownCapacity network capacity of this instance in Mbit/s; 0 when unknown. */
+    PeerLink(TrafficEngine&, std::string ownName, double ownCapacity = 0);
     ~PeerLink() override;
     PeerLink(const PeerLink&) = delete;
     PeerLink& operator=(const PeerLink&) = delete;
@@ -48,6 +53,7 @@
 
     boost::asio::awaitable<ReservationOutcome> requestReservation(BackendServer&, ReservationLimits) override;
     void notifyUsageChanged(const BackendServer&) override;
+    std::unique_ptr<SlotTicket> requestSlot(SlotDemand, std::function<void()> onDecision) override;
 
     /** Sources from which this instance reads the store, in order of preference; nothing stands for the store itself.
         @param own this instance, with its capacity and failure domain.
@@ -58,12 +64,29 @@
     Duration oldestReportAge() const { return m_reportTable.maxReportAge(m_engine.clock().now()); }
     size_t memberCount() const { return m_members.size(); }
 
+    /** Requests of all instances that wait for a slot of the services that this instance coordinates. */
+    size_t queuedRequestCount() const { return m_coordination.waitingCount(); }
+    size_t coordinatedServiceCount() const { return m_coordination.coordinatedServiceCount(); }
+
 private:
     struct ListedMember {
         Member member;
         TimePoint listedAt {};
         int consecutiveTimeouts = 0; ///< Consecutive reservation requests without a reply.
         TimePoint excludedUntil {}; ///< Until then the member is not used as a coordinator.
+        bool isSilent = false; ///< Whether it did not reply and no message of it has arrived since.
+    };
+
+    /** Sender of the message that is being handled; empty otherwise. */
+    struct CurrentSender {
+        std::string name {};
+        boost::asio::ip::udp::endpoint endpoint {};
+    };
+
+    /** The coordinator of a service, as known for a short time. */
+    struct KnownCoordinator {
+        std::optional<std::string> name {};
+        TimePoint validUntil {};
     };
 
     /** A reservation request that waits for its reply. */
@@ -81,17 +104,35 @@
     void receiveReport(PeerReport);
     void receiveReservationMessage(const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
     void receiveReservationReply(const ReservationReply&);
+    template <typename Message>
+    void receiveCoordination(const Message&, const boost::asio::ip::udp::endpoint& sender);
     void updatePeerUsage(uint64_t server);
 
     /** The member that coordinates the server; null when it is this instance, or when there is none. */
     ListedMember* coordinator(uint64_t server);
     /** Excludes a member as a coordinator after repeated timeouts. */
     void recordReplyResult(ListedMember&, bool hasReplied);
+    /** Records that a message of the member has arrived. */
+    void recordSender(std::string_view name);
+    boost::asio::awaitable<void> pollCoordination();
+    std::optional<std::string> rankCoordinators(std::string_view service) const;
+
+    std::optional<std::string> serviceCoordinator(std::string_view service) const override;
+    bool isUsable(std::string_view instance) const override;
+    void recordSilence(std::string_view instance) override;
+    void sendTo(std::string_view instance, std::span<const uint8_t>) override;
+    void sendToAll(std::span<const uint8_t>) override;
+    uint64_t failureDomainOf(std::string_view instance) const override;
+    std::vector<QueuedServer> serversOf(std::string_view service) const override;
+    std::vector<uint64_t> ejectedServersOf(std::string_view service) const override;
+    void schedulePoll() override { m_pollEvent.notify(); }
+
     ReservationMessage usageMessage(const BackendServer&);
     void send(std::span<const uint8_t>, const boost::asio::ip::udp::endpoint&);
 
     TrafficEngine& m_engine;
     std::string m_ownName;
+    double m_ownCapacity;
     uint64_t m_incarnation;
     uint64_t m_sequence = 0;
     bool m_acceptsCallers = false;
@@ -100,6 +141,10 @@
     PeerReportTable m_reportTable;
     std::map<std::string, ListedMember, std::less<>> m_members;
     std::unordered_map<uint64_t, PendingRequest> m_pendingRequests; ///< By sequence of the request.
+    mutable std::map<std::string, KnownCoordinator, std::less<>> m_coordinators; ///< By service.
+    CurrentSender m_currentSender;
+    AutoResetEvent m_pollEvent;
+    ServiceCoordination m_coordination;
 };
 
 }
--- a/modules/borageslip_traffic/peers/ReservationMessages.cpp
+++ b/modules/borageslip_traffic/peers/ReservationMessages.cpp
@@ -29,6 +29,14 @@
         return PeerMessage(ReservationMessage { document[1], document[2], document[3], { document[4], document[5], document[6] }, document[7], { document[8], document[9] } });
     }
 
+    template <typename Message>
+    Result<PeerMessage> peerMessageFrom(Result<Message> message)
+    {
+        if (!isOk(message))
+            return error(message);
+        return PeerMessage(value(std::move(message)));
+    }
+
     Result<PeerMessage> reservationReplyFrom(const nlohmann::json& document)
     {
         if (document.size() != 6 || !document[2].is_boolean() || !areNumbers(document, { 1, 3, 4, 5 }))
@@ -57,10 +65,13 @@
         return reservationMessageFrom(document);
     if (hasKind && document[0] == reservationReplyKind)
         return reservationReplyFrom(document);
-    auto report = decodePeerReport(bytes);
-    if (!isOk(report))
-        return error(report);
-    return PeerMessage(value(std::move(report)));
+    if (hasKind && document[0] == serviceStateKind)
+        return peerMessageFrom(serviceStateFrom(document));
+    if (hasKind && document[0] == serviceDecisionsKind)
+        return peerMessageFrom(serviceDecisionsFrom(document));
+    if (hasKind && document[0] == coordinatorNoticeKind)
+        return peerMessageFrom(coordinatorNoticeFrom(document));
+    return peerMessageFrom(decodePeerReport(bytes));
 }
 
 }
--- a/modules/borageslip_traffic/peers/ReservationMessages.h
+++ b/modules/borageslip_traffic/peers/ReservationMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PeerReport.h"
+#include "ServiceMessages.h"
 
 #include <variant>
 
@@ -40,7 +41,7 @@
 };
 
 /** Any message between instances. */
-using PeerMessage = std::variant<PeerReport, ReservationMessage, ReservationReply>;
+using PeerMessage = std::variant<PeerReport, ReservationMessage, ReservationReply, ServiceState, ServiceDecisions, CoordinatorNotice>;
 
 std::vector<uint8_t> encodeReservationMessage(const ReservationMessage&);
 std::vector<uint8_t> encodeReservationReply(const ReservationReply&);
--- a/modules/borageslip_traffic/placement/ReservationBroker.h
+++ b/modules/borageslip_traffic/placement/ReservationBroker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../peers/ReservationMessages.h"
+#include "SlotTicket.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -28,6 +29,10 @@
         server beforehand, so that a load report sent in the meantime includes it. */
     virtual boost::asio::awaitable<ReservationOutcome> requestReservation(BackendServer&, ReservationLimits) = 0;
 
+    /** Queues a request for a slot at any server of a service.
+        @param onDecision called when the ticket's outcome has changed; must not destroy the ticket. */
+    virtual std::unique_ptr<SlotTicket> requestSlot(SlotDemand, std::function<void()> onDecision) = 0;
+
     /** Notifies the server's coordinator that this instance's usage of the server has changed. */
     virtual void notifyUsageChanged(const BackendServer&) = 0;
 };
--- a/modules/borageslip_traffic/servers/ServerHealth.h
+++ b/modules/borageslip_traffic/servers/ServerHealth.h
@@ -31,8 +31,9 @@
         probe becomes due. */
     bool isAvoided(uint64_t server, uint64_t request, TimePoint now) const;
 
-    /** Whether the server's share of the requests is reduced. */
-    bool hasReducedShare(uint64_t server) const { return m_ejector.weight(server) < 1; }
+    /** The server's share of the requests; 1 unless it is reduced. */
+    double share(uint64_t server) const { return m_ejector.weight(server); }
+    bool hasReducedShare(uint64_t server) const { return share(server) < 1; }
 
     /** Must be called for each send: a send to a server without a share counts as a probe, and the next probe is
         delayed. */
