Keep members that the store delisted while they are heard

Callers saw: an instance that the store turns away answered 503 after 8 s. Now a delisted member stays until its messages end for two report intervals (1.2 s at least) or it stops accepting callers; at 295 instances a killed one is kept for up to about 3 s longer than by its lease.

--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -24,6 +24,7 @@
     constexpr Duration minReportInterval = milliseconds(100);
     constexpr Duration reportIntervalPerMember = milliseconds(12);
     constexpr int lostReportsBeforeExpiry = 8;
+    constexpr int lostReportsOfDelisted = 2;
     constexpr int outcomeReportRepeats = 4; ///< Reports that repeat a server's outcomes after a change, because datagrams may be lost.
     constexpr Duration minReportLifetime = milliseconds(1200);
     constexpr size_t maxDatagramBytes = 16 * 1024;
@@ -82,8 +83,10 @@
     if (member.name == m_ownName)
         return;
     const auto found = m_members.find(member.name);
-    if (found != m_members.end() && found->second.member == member)
+    if (found != m_members.end() && found->second.member == member) {
+        found->second.isDelisted = false;
         return;
+    }
     logEvent(Severity::Info, "member-listed", { { "member", member.name } });
     const auto name = member.name;
     m_members[name] = { std::move(member), m_engine.clock().now() };
@@ -92,7 +95,25 @@
     m_engine.setInstanceCount(m_members.size() + 1);
 }
 
+bool PeerLink::isHeard(std::string_view name) const
+{
+    const auto longestSilence = std::max(minReportLifetime, reportInterval() * lostReportsOfDelisted);
+    return m_reportTable.acceptsCallers(name) && m_reportTable.hasMessageWithin(name, longestSilence, m_engine.clock().now());
+}
+
 void PeerLink::removeMember(std::string_view name)
+{
+    const auto found = m_members.find(name);
+    if (found == m_members.end())
+        return;
+    found->second.isDelisted = true;
+    if (!isHeard(name))
+        eraseMember(name);
+    else
+        logEvent(Severity::Warning, "member-delisted", { { "member", name } });
+}
+
+void PeerLink::eraseMember(std::string_view name)
 {
     const auto found = m_members.find(name);
     if (found == m_members.end())
@@ -103,6 +124,17 @@
     m_engine.setInstanceCount(m_members.size() + 1);
 }
 
+void PeerLink::eraseDelistedMembers()
+{
+    std::vector<std::string> lost;
+    for (const auto& [name, listed] : m_members) {
+        if (listed.isDelisted && !isHeard(name))
+            lost.push_back(name);
+    }
+    for (const auto& name : lost)
+        eraseMember(name);
+}
+
 void PeerLink::setAcceptsCallers(bool acceptsCallers)
 {
     if (m_acceptsCallers == acceptsCallers)
@@ -454,6 +486,7 @@
 {
     while (m_socket.is_open()) {
         sendReports();
+        eraseDelistedMembers();
         applyPeerUsage();
         boost::system::error_code failure;
         m_timer.expires_after(reportInterval());
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -42,6 +42,9 @@
 
     /** Adds or updates a member; the own instance is ignored. */
     void setMember(Member);
+
+    /** Removes a member that the store no longer lists. One that is still heard and accepts callers is removed when its
+        messages end: the store may reject it, so that its lease expires while it serves callers. */
     void removeMember(std::string_view name);
 
     /** Sets whether callers may be directed to this instance; a change is reported at once. */
@@ -74,6 +77,7 @@
         TimePoint listedAt {};
         int consecutiveTimeouts = 0; ///< Consecutive reservation requests without a reply.
         TimePoint excludedUntil {}; ///< Until then the member is not used as a coordinator.
+        bool isDelisted = false; ///< Whether the store no longer lists it.
         bool isSilent = false; ///< Whether it did not reply and no message of it has arrived since.
     };
 
@@ -98,6 +102,9 @@
     boost::asio::awaitable<void> receiveAll();
     boost::asio::awaitable<void> reportPeriodically();
     void sendReports();
+    bool isHeard(std::string_view name) const;
+    void eraseMember(std::string_view name);
+    void eraseDelistedMembers();
     void applyPeerUsage();
     Duration reportInterval() const;
     void receive(PeerMessage, const boost::asio::ip::udp::endpoint& sender);
--- a/modules/borageslip_traffic/peers/PeerReportTable.cpp
+++ b/modules/borageslip_traffic/peers/PeerReportTable.cpp
@@ -114,6 +114,12 @@
     return found != m_entries.end() && found->second.hasReported && now - found->second.receivedAt <= m_lifetime;
 }
 
+bool PeerReportTable::hasMessageWithin(std::string_view instance, Duration age, TimePoint now) const
+{
+    const auto found = m_entries.find(instance);
+    return found != m_entries.end() && now - found->second.receivedAt <= age;
+}
+
 bool PeerReportTable::acceptsCallers(std::string_view instance) const
 {
     const auto found = m_entries.find(instance);
--- a/modules/borageslip_traffic/peers/PeerReportTable.h
+++ b/modules/borageslip_traffic/peers/PeerReportTable.h
@@ -53,6 +53,9 @@
     /** Whether the instance has sent a report since it started and any message within the lifetime. */
     bool hasRecentReport(std::string_view instance, TimePoint now) const;
 
+    /** Whether a message of the instance was received within the given time. */
+    bool hasMessageWithin(std::string_view instance, Duration age, TimePoint now) const;
+
     /** Whether the instance's latest report says that it accepts callers. */
     bool acceptsCallers(std::string_view instance) const;
 
