--- a/modules/borageslip_traffic/peers/ServiceCoordination.cpp
+++ b/modules/borageslip_traffic/peers/ServiceCoordination.cpp
@@ -272,8 +272,9 @@
 {
     const bool isClaim = notice.sender == notice.coordinator && notice.sender != m_ownName;
     if (isClaim && m_host.serviceCoordinator(notice.service) == m_ownName) {
-        // The sender took this instance for unreachable. This message shows that it is not.
-        m_host.sendTo(notice.sender, encodeCoordinatorNotice({ m_ownName, notice.service, m_ownName }));
+        // The sender took this instance for unreachable. This message shows that it is not, and asks for no answer: both
+        // may take themselves for the coordinator for a while.
+        m_host.sendTo(notice.sender, encodeServiceDecisions({ m_ownName, notice.service, 0, m_ownName }));
         return;
     }
     const auto found = m_clients.find(notice.service);
--- a/tests/borageslip_traffic/ServiceCoordinationTests.cpp
+++ b/tests/borageslip_traffic/ServiceCoordinationTests.cpp
@@ -99,6 +99,19 @@
             other->draining.insert(m_instances[instance]->name);
     }
 
+    /** Makes each of the first instances take all others for unusable, so that it coordinates the service itself. */
+    void disagree(size_t count)
+    {
+        for (size_t i = 0; i < count; ++i) {
+            for (const auto& other : m_instances) {
+                if (other->name != m_instances[i]->name)
+                    m_instances[i]->draining.insert(other->name);
+            }
+        }
+    }
+
+    int messageCount() const { return m_messageCount; }
+
     void stopArrivals() { m_hasArrivals = false; }
 
     /** Slots that coordinators count as held. */
@@ -216,6 +229,7 @@
 
     void deliver(const std::string& from, size_t to, std::vector<uint8_t> bytes)
     {
+        ++m_messageCount;
         if (uniform() < m_load.lostMessages)
             return;
         const auto delay = seconds(std::chrono::duration<double>(m_load.messageTime).count() * (1 + uniform()));
@@ -333,6 +347,7 @@
     std::vector<std::unique_ptr<Instance>> m_instances;
     ServiceOutcome m_outcome;
     uint64_t m_lastId = 0;
+    int m_messageCount = 0;
     bool m_hasArrivals = true;
 };
 
@@ -428,6 +443,20 @@
     CHECK(outcome.mostAtServer <= slots + extraGrants + 1);
 }
 
+// Guards against instances that answer each other's messages without end because each takes itself for the coordinator.
+TEST_CASE("instances that disagree on the coordinator exchange few messages", "[service]")
+{
+    ServiceLoad load;
+    load.instances = 5;
+    load.utilisation = 0.1;
+    SimulatedServiceFleet fleet(load);
+    fleet.disagree(3);
+    const auto outcome = fleet.run(3s);
+    CAPTURE(outcome.asked, fleet.messageCount());
+    CHECK(fleet.messageCount() < 10 * outcome.asked);
+    CHECK(outcome.unanswered == 0);
+}
+
 // Guards against slots that dead instances hold for long.
 TEST_CASE("slots of killed instances are granted again", "[service]")
 {
