Count the requests that wait for a coordinator among the waiting ones

borageslip_entry_waiting missed the requests that wait for a slot of a small service, since they left the local queue. The simulation of coordinators uses the project's ManualClock.

--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -173,7 +173,7 @@
         counter("borageslip_entry_retries_total", "Sends after a failed one, within the shared budget", counts.retries),
         counter("borageslip_entry_retries_denied_total", "Repeats that the shared budget did not allow", counts.retriesDenied),
         servers(m_engine),
-        gauge("borageslip_entry_waiting", "Requests that wait for a place at a backend server", static_cast<double>(m_engine.waitingCount())),
+        gauge("borageslip_entry_waiting", "Requests that wait for a place at a backend server", static_cast<double>(m_engine.waitingCount() + m_peers.ownQueuedRequestCount())),
         gauge("borageslip_entry_queued_requests", "Requests of all instances in the service queues of this coordinator", static_cast<double>(m_peers.queuedRequestCount())),
         gauge("borageslip_entry_coordinated_services", "Services whose slots this instance grants", static_cast<double>(m_peers.coordinatedServiceCount())),
         gauge("borageslip_entry_configuration_version", "Version of the configuration in force; 0 for none", static_cast<double>(version)),
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -69,6 +69,9 @@
 
     /** Requests of all instances that wait for a slot of the services that this instance coordinates. */
     size_t queuedRequestCount() const { return m_coordination.waitingCount(); }
+
+    /** Requests of this instance that wait for a slot from a coordinator. */
+    size_t ownQueuedRequestCount() const { return m_coordination.ownWaitingCount(); }
     size_t coordinatedServiceCount() const { return m_coordination.coordinatedServiceCount(); }
 
 private:
--- a/modules/borageslip_traffic/peers/ServiceCoordination.cpp
+++ b/modules/borageslip_traffic/peers/ServiceCoordination.cpp
@@ -45,8 +45,7 @@
     const auto service = demand.service;
     auto& client = m_clients[service];
     std::unique_ptr<SlotTicket> ticket(new SlotTicket(m_self, ++m_nextNumber, std::move(demand), std::move(onDecision)));
-    const auto waiting = std::count_if(client.tickets.begin(), client.tickets.end(), [](const auto& row) { return row.second->m_outcome == SlotTicket::Outcome::Waiting; });
-    if (static_cast<size_t>(waiting) >= maxWaitingTickets) {
+    if (waitingTickets(client) >= maxWaitingTickets) {
         ticket->m_outcome = SlotTicket::Outcome::Rejected;
         return ticket;
     }
@@ -55,6 +54,11 @@
     return ticket;
 }
 
+size_t ServiceCoordination::waitingTickets(const Client& client)
+{
+    return static_cast<size_t>(std::count_if(client.tickets.begin(), client.tickets.end(), [](const auto& row) { return row.second->m_outcome == SlotTicket::Outcome::Waiting; }));
+}
+
 void ServiceCoordination::removeTicket(const SlotTicket& ticket)
 {
     const auto found = m_clients.find(ticket.m_demand.service);
@@ -386,6 +390,14 @@
     }
 }
 
+size_t ServiceCoordination::ownWaitingCount() const
+{
+    size_t count = 0;
+    for (const auto& [service, client] : m_clients)
+        count += waitingTickets(client);
+    return count;
+}
+
 size_t ServiceCoordination::waitingCount() const
 {
     size_t count = 0;
--- a/modules/borageslip_traffic/peers/ServiceCoordination.h
+++ b/modules/borageslip_traffic/peers/ServiceCoordination.h
@@ -42,6 +42,9 @@
 
     /** Requests of all instances that wait in the queues of this instance. */
     size_t waitingCount() const;
+
+    /** Requests of this instance that wait for a slot. */
+    size_t ownWaitingCount() const;
     size_t coordinatedServiceCount() const { return m_queues.size(); }
 
 private:
@@ -78,6 +81,7 @@
     void removeTicket(const SlotTicket&);
     void sendSoon(const std::string& service);
 
+    static size_t waitingTickets(const Client&);
     std::optional<std::string> target(const std::string& service, const Client&) const;
     ServiceState stateOf(const std::string& service, const Client&) const;
     void sendState(const std::string& service, Client&);
--- a/tests/borageslip_traffic/ServiceCoordinationTests.cpp
+++ b/tests/borageslip_traffic/ServiceCoordinationTests.cpp
@@ -56,7 +56,6 @@
         , m_network(load.seed)
         , m_servers(load.servers)
     {
-        m_clock.set(m_start);
         for (size_t i = 0; i < load.servers; ++i)
             m_serverByHash[hashBytes("server" + std::to_string(i))] = i;
         for (size_t i = 0; i < load.instances; ++i)
@@ -71,7 +70,7 @@
     {
         while (!m_events.empty() && m_events.begin()->first < m_start + length) {
             auto event = m_events.extract(m_events.begin());
-            m_clock.set(event.key());
+            m_clock.advance(event.key() - m_clock.now());
             event.mapped()();
         }
         return m_outcome;
@@ -132,16 +131,6 @@
     }
 
 private:
-    class SettableClock final : public Clock {
-    public:
-        TimePoint now() const override { return m_now; }
-        std::chrono::system_clock::time_point wallTime() const override { return {}; }
-        void set(TimePoint now) { m_now = now; }
-
-    private:
-        TimePoint m_now {};
-    };
-
     struct Server {
         int running = 0;
         std::deque<std::function<void()>> queue {};
@@ -338,8 +327,8 @@
     ServiceLoad m_load;
     std::minstd_rand m_random; ///< Of the requests; fleets of all sizes get the same ones.
     std::minstd_rand m_network;
-    SettableClock m_clock;
-    TimePoint m_start = TimePoint() + 100s;
+    ManualClock m_clock;
+    TimePoint m_start = m_clock.now();
     TimePoint m_lastGrant {};
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::map<uint64_t, size_t> m_serverByHash;
