Keep requests of small services away from servers that fail

Cause: the queue of a service only limited the slots of a server with a reduced share, and an idle service chose among equally loaded servers by a hash. A server with a reduced share now comes last for the rest of the requests, and gets a probe when one is due.

Lint findings in the new tests are mended as well.

--- a/modules/borageslip_traffic/limits/ServiceQueue.cpp
+++ b/modules/borageslip_traffic/limits/ServiceQueue.cpp
@@ -22,6 +22,7 @@
     constexpr Duration arrivalWindow = milliseconds(500);
     constexpr int holdTimeSmoothing = 16; ///< The moving average adapts within some tens of requests.
     constexpr double minFreeRate = 0.1; ///< Part of the service rate assumed to be left for late requests, however many arrive.
+    constexpr uint64_t shareSeed = 0x7368617265;
     constexpr size_t maxWaiting = 2048; ///< Per service; beyond it, the last requests in order are rejected.
 
     bool contains(std::span<const uint64_t> hashes, uint64_t hash)
@@ -71,13 +72,14 @@
         return std::all_of(m_rows.begin(), m_rows.end(), [&](const Row& row) { return contains(excluded, row.server.hash); });
     }
 
-    /** Takes a slot of the least loaded server that is not excluded.
+    /** Takes a slot of the least loaded server that is not excluded. Servers with a reduced share come last for the rest
+        of the requests.
         @return the server's hash; 0 when there is no free slot. */
     uint64_t take(std::span<const uint64_t> excluded, uint64_t failureDomain, uint64_t tieBreak)
     {
         const auto key = [&](const Row& row) {
             const double load = row.server.slots == 0 ? row.held : static_cast<double>(row.held) / row.limit;
-            return std::tuple(row.server.isCold, load, row.server.failureDomain != failureDomain, hashPair(tieBreak, row.server.hash));
+            return std::tuple(isAvoided(row.server, tieBreak), row.server.isCold, load, row.server.failureDomain != failureDomain, hashPair(tieBreak, row.server.hash));
         };
         Row* best = nullptr;
         for (auto& row : m_rows) {
@@ -90,6 +92,7 @@
             return 0;
         ++best->held;
         ++m_totalHeld;
+        best->server.isProbeDue = false;
         return best->server.hash;
     }
 
@@ -108,6 +111,16 @@
         return std::max(1, static_cast<int>(std::lround(full * server.share)));
     }
 
+    /** Whether the request should get another server if one has a free slot. */
+    static bool isAvoided(const QueuedServer& server, uint64_t request)
+    {
+        if (server.share >= 1 || server.isProbeDue)
+            return false;
+        // Independent of the hash that decides between equally loaded servers, which would favour servers that are not avoided.
+        const double position = std::ldexp(static_cast<double>(hashPair(hashPair(request, server.hash), shareSeed)), -64);
+        return position >= server.share;
+    }
+
     bool isFree(const Row& row) const
     {
         const bool hasSlot = row.limit == 0 || row.held < row.limit;
--- a/modules/borageslip_traffic/limits/ServiceQueue.h
+++ b/modules/borageslip_traffic/limits/ServiceQueue.h
@@ -17,9 +17,10 @@
 struct QueuedServer {
     uint64_t hash = 0; ///< Hash of the server's id.
     int slots = 0; ///< Concurrent requests; 0 for unlimited.
-    double share = 1; ///< Part of its slots that may be used, less than 1 while it fails or is slow.
+    double share = 1; ///< Part of its slots and of the requests that it gets, less than 1 while it fails or is slow.
     bool isCold = false;
     uint64_t failureDomain = 0; ///< Hash of the name.
+    bool isProbeDue = false; ///< Whether the next request may go to it whatever its share, to find out whether it has recovered.
 };
 
 /** Slots and queue of one service, kept by the service's coordinator: one queue for the requests of all instances, and
--- a/modules/borageslip_traffic/peers/CoordinationHost.h
+++ b/modules/borageslip_traffic/peers/CoordinationHost.h
@@ -36,6 +36,9 @@
     /** The service's backend servers in service. */
     virtual std::vector<QueuedServer> serversOf(std::string_view service) const = 0;
 
+    /** Records that a request was granted a slot of the server, which counts as a probe if one is due. */
+    virtual void recordGrant(uint64_t server) = 0;
+
     /** Hashes of the service's servers that this instance has ejected after failures. */
     virtual std::vector<uint64_t> ejectedServersOf(std::string_view service) const = 0;
 
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -466,11 +466,17 @@
         if (!server->isInService())
             continue;
         const double share = server->isEjected(now) ? 0 : health.share(server->hash());
-        servers.push_back({ server->hash(), server->description().slots, share, server->isCold(now), hashBytes(server->description().failureDomain) });
+        servers.push_back({ server->hash(), server->description().slots, share, server->isCold(now), hashBytes(server->description().failureDomain), !server->isEjected(now) && health.isProbeDue(server->hash(), now) });
     }
     return servers;
 }
 
+void PeerLink::recordGrant(uint64_t server)
+{
+    if (const auto found = m_engine.servers().find(server))
+        m_engine.servers().recordSend(*found);
+}
+
 std::vector<uint64_t> PeerLink::ejectedServersOf(std::string_view service) const
 {
     const auto now = m_engine.clock().now();
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -134,6 +134,7 @@
     void sendToAll(std::span<const uint8_t>) override;
     uint64_t failureDomainOf(std::string_view instance) const override;
     std::vector<QueuedServer> serversOf(std::string_view service) const override;
+    void recordGrant(uint64_t server) override;
     std::vector<uint64_t> ejectedServersOf(std::string_view service) const override;
     void schedulePoll() override { m_pollEvent.notify(); }
 
--- a/modules/borageslip_traffic/peers/ServiceCoordination.cpp
+++ b/modules/borageslip_traffic/peers/ServiceCoordination.cpp
@@ -380,8 +380,11 @@
     };
     if (answered != nullptr && answered->expectsReply)
         replyTo(answered->sender).acknowledged = answered->sequence;
-    for (auto& [instance, decision] : queue.slots.decide(usableServers(service, queue), m_clock.now()))
+    for (auto& [instance, decision] : queue.slots.decide(usableServers(service, queue), m_clock.now())) {
+        if (decision.isGranted)
+            m_host.recordGrant(decision.server);
         replyTo(instance).decisions.push_back(decision);
+    }
     for (const auto& [instance, reply] : replies) {
         if (instance == m_ownName)
             receive(reply);
--- a/modules/borageslip_traffic/servers/ServerHealth.h
+++ b/modules/borageslip_traffic/servers/ServerHealth.h
@@ -35,6 +35,9 @@
     double share(uint64_t server) const { return m_ejector.weight(server); }
     bool hasReducedShare(uint64_t server) const { return share(server) < 1; }
 
+    /** Whether a server with a reduced share should get a request to find out whether it has recovered. */
+    bool isProbeDue(uint64_t server, TimePoint now) const { return m_ejector.isProbeDue(server, now); }
+
     /** Must be called for each send: a send to a server without a share counts as a probe, and the next probe is
         delayed. */
     void recordSend(uint64_t server, TimePoint now) { m_ejector.tryProbe(server, now); }
--- a/tests/borageslip_traffic/ServiceCoordinationTests.cpp
+++ b/tests/borageslip_traffic/ServiceCoordinationTests.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-const std::string service = "booking";
+const std::string s_service = "booking";
 constexpr int slots = 6;
 constexpr int extraGrants = 2; ///< Requests granted beyond the slots of a server with six.
 constexpr Duration objective = 300ms;
@@ -149,7 +149,7 @@
             std::optional<std::string> best;
             uint64_t bestScore = 0;
             for (const auto& other : fleet.m_instances) {
-                const auto score = hashPair(hashBytes(service), hashBytes(other->name));
+                const auto score = hashPair(hashBytes(s_service), hashBytes(other->name));
                 if (!excluded.contains(other->name) && !draining.contains(other->name) && score > bestScore) {
                     best = other->name;
                     bestScore = score;
@@ -177,6 +177,7 @@
                 servers.push_back({ hash, slots, 1, false, 0 });
             return servers;
         }
+        void recordGrant(uint64_t) override { }
         std::vector<uint64_t> ejectedServersOf(std::string_view) const override { return {}; }
         void schedulePoll() override { fleet.schedulePoll(*this, fleet.m_clock.now()); }
 
@@ -265,7 +266,7 @@
         ++m_outcome.asked;
         const auto now = m_clock.now();
         const auto limits = startLimits(now, now + timeLimit, objective, m_load.work, ResponseShape::Whole);
-        SlotDemand demand { service, {}, id % 10, limits.onTimeUntil, limits.startUntil, {} };
+        SlotDemand demand { s_service, {}, id % 10, limits.onTimeUntil, limits.startUntil, {} };
         auto& ticket = instance.tickets[id];
         ticket = instance.coordination.requestSlot(demand, [this, &instance, id, now, workFactor] {
             at(m_clock.now(), [this, &instance, id, now, workFactor] { act(instance, id, now, workFactor); });
@@ -302,7 +303,7 @@
             if (target.running < slots)
                 work();
             else
-                target.queue.push_back(work);
+                target.queue.emplace_back(std::move(work));
             m_outcome.mostAtServer = std::max(m_outcome.mostAtServer, target.running + static_cast<int>(target.queue.size()));
         });
     }
--- a/tests/borageslip_traffic/ServiceQueueTests.cpp
+++ b/tests/borageslip_traffic/ServiceQueueTests.cpp
@@ -51,7 +51,7 @@
     return numbers;
 }
 
-const std::vector<QueuedServer> oneSlot { { 7, 1, 1, false, 0 } };
+const std::vector<QueuedServer> s_oneSlot { { 7, 1, 1, false, 0 } };
 constexpr size_t oneSlotGrants = 2; ///< One request in the slot and one that waits at the server.
 
 }
@@ -63,17 +63,17 @@
     ServiceQueue queue(capFactor);
     Sender instance(queue, "a");
     instance.send({ request(1, { 0, 2 }), request(2, { 0, 1 }), request(3, { 0, 1 }) });
-    CHECK(grantedNumbers(queue.decide(oneSlot, start)) == std::vector<uint64_t> { 2, 3 });
+    CHECK(grantedNumbers(queue.decide(s_oneSlot, start)) == std::vector<uint64_t> { 2, 3 });
 
     ServiceQueue lateness(capFactor);
     Sender other(lateness, "a");
     other.send({ request(1, {}, 1, 0ms, 100ms), request(2, {}, 2, 50ms), request(3, {}, 3, 50ms) });
-    CHECK(grantedNumbers(lateness.decide(oneSlot, start + 1ms)) == std::vector<uint64_t> { 2, 3 });
+    CHECK(grantedNumbers(lateness.decide(s_oneSlot, start + 1ms)) == std::vector<uint64_t> { 2, 3 });
 
     ServiceQueue fairness(capFactor);
     Sender surging(fairness, "a");
     surging.send({ request(1), request(2, {}, 1, 20ms), request(3, {}, 2, 90ms) });
-    CHECK(grantedNumbers(fairness.decide(oneSlot, start)) == std::vector<uint64_t> { 2, 3 });
+    CHECK(grantedNumbers(fairness.decide(s_oneSlot, start)) == std::vector<uint64_t> { 2, 3 });
 }
 
 // Guards against a caller that waits until its deadline although it is known that it cannot be served.
@@ -89,7 +89,7 @@
     for (uint64_t number = 2; number < 22; ++number)
         waiting.push_back(request(number, {}, 1, 500ms, 500ms));
     instance.send(waiting, {}, now);
-    const auto decisions = queue.decide(oneSlot, now);
+    const auto decisions = queue.decide(s_oneSlot, now);
     CHECK(grantedNumbers(decisions).size() == oneSlotGrants);
     const auto rejected = std::count_if(decisions.begin(), decisions.end(), [](const auto& row) { return !row.decision.isGranted; });
     CHECK(rejected == 12);
@@ -106,7 +106,7 @@
     auto tried = request(1);
     tried.excluded = { 7 };
     instance.send({ tried });
-    const auto decisions = queue.decide(oneSlot, start);
+    const auto decisions = queue.decide(s_oneSlot, start);
     REQUIRE(decisions.size() == 1);
     CHECK_FALSE(decisions[0].decision.isGranted);
 
@@ -124,10 +124,10 @@
     Sender instance(queue, "a");
     instance.send({ request(1) });
     const auto old = instance.state();
-    REQUIRE(grantedNumbers(queue.decide(oneSlot, start)).size() == 1);
+    REQUIRE(grantedNumbers(queue.decide(s_oneSlot, start)).size() == 1);
     // The grant was lost: the request is still listed as waiting.
     instance.send({ request(1) });
-    CHECK(grantedNumbers(queue.decide(oneSlot, start)) == std::vector<uint64_t> { 1 });
+    CHECK(grantedNumbers(queue.decide(s_oneSlot, start)) == std::vector<uint64_t> { 1 });
     CHECK(queue.heldCount(7) == 1);
     CHECK_FALSE(queue.apply(old, 0, start));
     // The request gave up before the grant arrived.
@@ -167,12 +167,12 @@
     Sender instance(queue, "a");
     queue.settleUntil(start + 40ms);
     instance.send({ request(1) });
-    CHECK(queue.decide(oneSlot, start).empty());
+    CHECK(queue.decide(s_oneSlot, start).empty());
     Sender holder(queue, "b");
     holder.send({}, { { 1, 7 }, { 2, 7 } }, start + 10ms);
-    CHECK(queue.decide(oneSlot, start + 50ms).empty());
+    CHECK(queue.decide(s_oneSlot, start + 50ms).empty());
     holder.send({}, { { 1, 7 } }, start + 60ms);
-    CHECK(grantedNumbers(queue.decide(oneSlot, start + 60ms)).size() == 1);
+    CHECK(grantedNumbers(queue.decide(s_oneSlot, start + 60ms)).size() == 1);
 }
 
 // Guards against a load over the cap on one server, and against idle slots at the others.
@@ -191,6 +191,23 @@
     CHECK(queue.heldCount(9) == 1);
 }
 
+// Guards against a failing server that gets as many requests as the others, and against one that is never tried again.
+TEST_CASE("a server without a share gets a request only as a probe or when no other has a free slot")
+{
+    ServiceQueue queue(capFactor);
+    std::vector<QueuedServer> servers { { 7, 6, 1, false, 0 }, { 8, 6, 0, false, 0 } };
+    Sender instance(queue, "a");
+    for (uint64_t number = 1; number <= 20; ++number) {
+        instance.send({ request(number) });
+        queue.decide(servers, start);
+        CHECK(queue.heldCount(8) == 0);
+    }
+    servers[1].isProbeDue = true;
+    instance.send({ request(30) }, { { 29, 7 } });
+    queue.decide(servers, start);
+    CHECK(queue.heldCount(8) == 1);
+}
+
 // Guards against malformed datagrams that are accepted as messages or crash the process.
 TEST_CASE("messages about slots survive encoding and decoding, and malformed ones are rejected")
 {
