Let the responders of the inner server outlive it

Cause: a responder posts its calls to the event loop of its server, and the test's detached thread destroyed the last responder after the server. The same holds in the daemon for a worker thread that still has a responder when the server is destroyed. The responders now share the event loop.

The 3 failures of 71 runs at InnerTests.cpp:138 were traced before to the test itself: its polling thread could drop the last responder between the moment at which the stream is marked as closed and the call of the handler, which then found none. The thread now keeps the responder until the handler was called, and is joined. The checks are the same.

New test: a responder that outlives its server.

--- a/modules/borageslip_inner/server/InnerResponder.h
+++ b/modules/borageslip_inner/server/InnerResponder.h
@@ -9,7 +9,8 @@
 
 /** Sends the response to a daemon-to-daemon request: start() once, write() any number of times, then finish().
 
-    May be used from any thread. If it is destroyed before finish(), the stream is aborted.
+    May be used from any thread, and may outlive the server, after which its calls have no effect. If it is destroyed
+    before finish(), the stream is aborted.
     @see InnerServer */
 class InnerResponder {
 public:
--- a/modules/borageslip_inner/server/InnerServer.cpp
+++ b/modules/borageslip_inner/server/InnerServer.cpp
@@ -185,7 +185,7 @@
         }
         m_streams.clear();
         // The connection is erased in a posted task, because its methods are still on the call stack here.
-        boost::asio::post(m_server.m_context, [&server = m_server, self = shared_from_this()] { server.m_connections.erase(self); });
+        boost::asio::post(*m_server.m_context, [&server = m_server, self = shared_from_this()] { server.m_connections.erase(self); });
     }
 
 private:
@@ -197,7 +197,8 @@
     class Responder final : public InnerResponder {
     public:
         Responder(std::shared_ptr<Connection> connection, int32_t stream, std::shared_ptr<ResponseBuffer> buffer)
-            : m_connection(std::move(connection))
+            : m_context(connection->m_server.m_context)
+            , m_connection(std::move(connection))
             , m_stream(stream)
             , m_buffer(std::move(buffer))
         {
@@ -252,7 +253,7 @@
         template <typename Action>
         void post(Action action)
         {
-            boost::asio::post(m_connection->m_server.m_context, [connection = m_connection, stream = m_stream, action = std::move(action)] { action(*connection, stream); });
+            boost::asio::post(*m_context, [connection = m_connection, stream = m_stream, action = std::move(action)] { action(*connection, stream); });
         }
 
         void resume()
@@ -263,6 +264,7 @@
             });
         }
 
+        const std::shared_ptr<boost::asio::io_context> m_context; ///< Destroyed after the connection, whose socket uses it.
         const std::shared_ptr<Connection> m_connection;
         const int32_t m_stream;
         const std::shared_ptr<ResponseBuffer> m_buffer;
@@ -277,7 +279,8 @@
 InnerServer::InnerServer(Options options, Handler handler)
     : m_options(std::move(options))
     , m_handler(std::move(handler))
-    , m_acceptor(m_context)
+    , m_context(std::make_shared<boost::asio::io_context>())
+    , m_acceptor(*m_context)
 {
 }
 
@@ -302,7 +305,7 @@
     if (failure)
         return Error { ErrorKind::InvalidSettings, "cannot listen on " + host + ":" + std::to_string(port) + ": " + failure.message() };
     accept();
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] { m_context->run(); });
     return static_cast<int>(m_acceptor.local_endpoint().port());
 }
 
@@ -324,13 +327,13 @@
 {
     if (!m_thread.joinable())
         return;
-    boost::asio::post(m_context, [this] {
+    boost::asio::post(*m_context, [this] {
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
         const auto connections = m_connections;
         for (const auto& connection : connections)
             connection->close();
-        m_context.stop();
+        m_context->stop();
     });
     m_thread.join();
 }
--- a/modules/borageslip_inner/server/InnerServer.h
+++ b/modules/borageslip_inner/server/InnerServer.h
@@ -45,7 +45,7 @@
 
     const Options m_options;
     const Handler m_handler;
-    boost::asio::io_context m_context;
+    const std::shared_ptr<boost::asio::io_context> m_context; ///< Shared with the responders, which may outlive the server.
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Connection>> m_connections;
     std::thread m_thread;
--- a/tests/borageslip_inner/InnerTests.cpp
+++ b/tests/borageslip_inner/InnerTests.cpp
@@ -113,6 +113,8 @@
 {
     for (const bool isConnectionLost : { false, true }) {
         std::promise<bool> seen;
+        const auto lost = seen.get_future().share();
+        std::future<void> poller;
         Fixture fixture([&](const InnerRequest&, const std::shared_ptr<InnerResponder>& responder) {
             responder->start(200, {});
             responder->write("x");
@@ -121,10 +123,12 @@
                 if (const auto alive = weak.lock())
                     seen.set_value(alive->isConnectionLost());
             });
-            std::thread([responder] {
+            poller = std::async(std::launch::async, [responder, lost] {
                 while (!responder->isCancelled())
                     std::this_thread::yield();
-            }).detach();
+                // The stream is marked as closed before the handler is called, which needs the responder.
+                lost.wait_for(timeout);
+            });
         });
         auto client = std::make_unique<InnerClient>(InnerClient::Options { .key = "new-key" });
         FreezableRelay relay(fixture.address);
@@ -134,12 +138,30 @@
             relay.closeOpenConnections();
         else
             stream.reset();
-        auto lost = seen.get_future();
         REQUIRE(lost.wait_for(timeout) == std::future_status::ready);
         CHECK(lost.get() == isConnectionLost);
     }
 }
 
+TEST_CASE("a responder that outlives its server is closed and may still be used and destroyed")
+{
+    std::shared_ptr<InnerResponder> kept;
+    {
+        std::promise<void> received;
+        Fixture fixture([&](const InnerRequest&, std::shared_ptr<InnerResponder> responder) {
+            kept = std::move(responder);
+            received.set_value();
+        });
+        InnerClient client({ .key = "new-key" });
+        const auto stream = client.start(fixture.address, { "/inner/chat", {}, "x" });
+        REQUIRE(received.get_future().wait_for(timeout) == std::future_status::ready);
+    }
+    kept->start(200, {});
+    CHECK_FALSE(kept->write("x"));
+    CHECK(kept->isCancelled());
+    kept.reset();
+}
+
 TEST_CASE("streams cancelled before they are read do not use up the connection's flow-control window")
 {
     // 100 responses of 256 KB exceed the connection's flow-control window of 16 MB.
