Return its share to a recovered server of a service with few requests

Cause, by arithmetic and shown by the new test: a server at a share of 0.2 among three gets 7 in 100 requests, so that the five samples for the next step take 4 s at 20 requests a second, and those after it 1.5 s; with three probes before them the way back takes the 10 s of the check. A server whose share is being raised and whose requests do not fail now gets a probe each 200 ms, and a due probe goes before other servers.

--- a/modules/borageslip_routing/health/EngineEjector.cpp
+++ b/modules/borageslip_routing/health/EngineEjector.cpp
@@ -78,6 +78,7 @@
             ++lowered;
         else if (step == 0)
             --lowered;
+        state.isRecovering = step < state.step;
         state.step = step;
         state.lastChange = now;
         state.successes = state.failures = 0;
@@ -91,7 +92,12 @@
 bool EngineEjector::isProbeDue(EngineHash engine, TimePoint now) const
 {
     const auto found = m_engines.find(engine);
-    return found != m_engines.end() && found->second.step == ejectedStep && now - found->second.lastProbe >= m_settings.probeInterval;
+    if (found == m_engines.end() || found->second.step == 0)
+        return false;
+    const auto& state = found->second;
+    const bool isEjected = state.step == ejectedStep;
+    const bool mayHaveRecovered = isEjected || (m_settings.loweredProbeInterval > Duration::zero() && state.isRecovering && state.failures == 0);
+    return mayHaveRecovered && now - state.lastProbe >= (isEjected ? m_settings.probeInterval : m_settings.loweredProbeInterval);
 }
 
 bool EngineEjector::tryProbe(EngineHash engine, TimePoint now)
--- a/modules/borageslip_routing/health/EngineEjector.h
+++ b/modules/borageslip_routing/health/EngineEjector.h
@@ -46,6 +46,7 @@
         double failureFraction = 0.3;
         Duration cooldown = std::chrono::seconds(5);
         Duration probeInterval = std::chrono::seconds(1);
+        Duration loweredProbeInterval {}; ///< Between probes of engines whose weight is being raised and still below 1; zero for none.
     };
 
     explicit EngineEjector(const Settings& settings)
@@ -83,11 +84,11 @@
         second. */
     std::vector<WeightChange> evaluate(TimePoint now);
 
-    /** Returns whether a request may be sent to this ejected engine as a probe. */
+    /** Returns whether a request may be sent to this engine as a probe, whatever its weight. */
     bool isProbeDue(EngineHash, TimePoint now) const;
 
-    /** Returns true if the next request should be sent to this ejected engine as a probe, and starts a new probe
-        interval; at most once per probe interval. */
+    /** Returns true if the next request should be sent to this engine as a probe, and starts a new probe interval; at
+        most once per probe interval. */
     bool tryProbe(EngineHash, TimePoint now);
 
     double weight(EngineHash) const;
@@ -99,6 +100,7 @@
         uint32_t successes = 0;
         uint32_t failures = 0;
         size_t step = 0;
+        bool isRecovering = false; ///< Whether the latest change raised the weight.
         TimePoint lastChange {};
         TimePoint lastProbe {};
         uint64_t newestConnection = 0;
--- a/modules/borageslip_traffic/limits/ServiceQueue.cpp
+++ b/modules/borageslip_traffic/limits/ServiceQueue.cpp
@@ -72,14 +72,15 @@
         return std::all_of(m_rows.begin(), m_rows.end(), [&](const Row& row) { return contains(excluded, row.server.hash); });
     }
 
-    /** Takes a slot of the least loaded server that is not excluded. Servers with a reduced share come last for the rest
+    /** Takes a slot of the least loaded server that is not excluded. A server that is due for a probe comes first, so that
+        a service with few requests learns of its recovery; servers with a reduced share otherwise come last for the rest
         of the requests.
         @return the server's hash; 0 when there is no free slot. */
     uint64_t take(std::span<const uint64_t> excluded, uint64_t failureDomain, uint64_t tieBreak)
     {
         const auto key = [&](const Row& row) {
             const double load = row.server.slots == 0 ? row.held : static_cast<double>(row.held) / row.limit;
-            return std::tuple(isAvoided(row.server, tieBreak), row.server.isCold, load, row.server.failureDomain != failureDomain, hashPair(tieBreak, row.server.hash));
+            return std::tuple(!row.server.isProbeDue, isAvoided(row.server, tieBreak), row.server.isCold, load, row.server.failureDomain != failureDomain, hashPair(tieBreak, row.server.hash));
         };
         Row* best = nullptr;
         for (auto& row : m_rows) {
--- a/modules/borageslip_traffic/servers/ServerHealth.cpp
+++ b/modules/borageslip_traffic/servers/ServerHealth.cpp
@@ -12,6 +12,7 @@
     // instance sees only a small part of its requests.
     constexpr Duration cooldown = std::chrono::seconds(1);
     constexpr Duration evaluationInterval = std::chrono::seconds(1);
+    constexpr Duration loweredProbeInterval = std::chrono::milliseconds(200); ///< Gives enough samples for a decision within one cooldown.
     constexpr double slowRatio = 3; ///< High, because different loads alone make servers differ in latency.
     constexpr double recoveredRatio = 2;
     constexpr double maximumLoweredFraction = 0.5; ///< Allows one of two; a server with a reduced share is still used when no other one has capacity.
@@ -20,6 +21,7 @@
     {
         EngineEjector::Settings settings;
         settings.cooldown = cooldown;
+        settings.loweredProbeInterval = loweredProbeInterval;
         settings.maximumLoweredFraction = maximumLoweredFraction;
         settings.slowRatio = slowRatio;
         settings.recoveredRatio = recoveredRatio;
@@ -46,7 +48,8 @@
 bool ServerHealth::isAvoided(uint64_t server, uint64_t request, TimePoint now) const
 {
     const auto weight = m_ejector.weight(server);
-    if (weight >= 1 || m_ejector.isProbeDue(server, now))
+    const bool isProbe = weight == 0 && m_ejector.isProbeDue(server, now);
+    if (weight >= 1 || isProbe)
         return false;
     const double position = std::ldexp(static_cast<double>(hashPair(request, server)), -64);
     return position >= weight;
--- a/modules/borageslip_traffic/servers/ServerHealth.h
+++ b/modules/borageslip_traffic/servers/ServerHealth.h
@@ -38,7 +38,7 @@
     /** Whether a server with a reduced share should get a request to find out whether it has recovered. */
     bool isProbeDue(uint64_t server, TimePoint now) const { return m_ejector.isProbeDue(server, now); }
 
-    /** Must be called for each send: a send to a server without a share counts as a probe, and the next probe is
+    /** Must be called for each send: a send to a server with a reduced share counts as a probe, and the next probe is
         delayed. */
     void recordSend(uint64_t server, TimePoint now) { m_ejector.tryProbe(server, now); }
 
--- a/tests/borageslip_traffic/ServiceQueueTests.cpp
+++ b/tests/borageslip_traffic/ServiceQueueTests.cpp
@@ -208,6 +208,46 @@
     CHECK(queue.heldCount(8) == 1);
 }
 
+// Guards against a server whose share comes back only after most of a minute, because a service with few requests sends it
+// too few of them to tell that it has recovered.
+TEST_CASE("a recovered server of a service with few requests has its share back within seconds")
+{
+    constexpr uint64_t recovered = 7;
+    constexpr auto requestInterval = 50ms;
+    constexpr auto limit = 7s; // Three probes, and one second for each of the two steps of its share, with a third as margin.
+    for (uint64_t seed = 0; seed < 20; ++seed) {
+        ServerHealth health;
+        std::vector<QueuedServer> servers;
+        for (const uint64_t hash : { recovered, uint64_t(8), uint64_t(9) }) {
+            health.add(hash);
+            servers.push_back({ hash, 6, 1, false, 0 });
+        }
+        auto now = start;
+        for (; health.share(recovered) > 0; now += requestInterval) {
+            health.recordFailure(recovered, now, now);
+            health.evaluate(now);
+        }
+        ServiceQueue queue(capFactor);
+        Sender instance(queue, "a");
+        uint64_t number = seed * 1000;
+        const auto recoveredAt = now;
+        for (; health.share(recovered) < 1 && now < recoveredAt + limit; now += requestInterval) {
+            for (auto& server : servers) {
+                server.share = health.share(server.hash);
+                server.isProbeDue = health.isProbeDue(server.hash, now);
+            }
+            instance.send({ request(++number) }, {}, now);
+            for (const auto& row : queue.decide(servers, now)) {
+                health.recordSend(row.decision.server, now);
+                health.recordAnswer(row.decision.server, 30ms, now, now);
+            }
+            health.evaluate(now);
+        }
+        CAPTURE(seed);
+        CHECK(health.share(recovered) == 1);
+    }
+}
+
 // Guards against malformed datagrams that are accepted as messages or crash the process.
 TEST_CASE("messages about slots survive encoding and decoding, and malformed ones are rejected")
 {
