--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -22,6 +22,7 @@
 #include "limits/FleetRetryBudget.h"
 #include "limits/PriorityReserve.h"
 #include "limits/RequestQueue.h"
+#include "limits/ReservationWaitList.h"
 #include "limits/RetryAfter.h"
 #include "limits/ServiceQueue.h"
 #include "limits/WaitQueue.h"
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -23,6 +23,8 @@
 
     constexpr Duration connectLimit = milliseconds(250);
     constexpr int maxDenials = 4; ///< Consecutive reservation denials after which a request is queued.
+    constexpr int prefixWaitDivisor = 3; ///< Of the latency objective; the longest wait for the server that has the prefix in its cache.
+    constexpr uint64_t prefixTokensPerWait = 12; ///< Per millisecond of the wait. A server prefills some times as many, but also delays its other requests and evicts other prefixes.
     constexpr int maxUnknownServers = 3; ///< Granted servers that are not listed at this instance, after which a request is rejected.
     constexpr int maxUnreachableServers = 3; ///< Connection failures to backend servers after which a request fails.
     constexpr int maxMismatchedResponses = 2; ///< Responses to other requests that are discarded on one connection.
@@ -129,27 +131,44 @@
     co_await finish(m_lastError);
 }
 
-asio::awaitable<ReservationOutcome> Exchange::requestReservation(BackendServer& server)
+int64_t Exchange::promptTokens() const
 {
+    return m_metadata.promptParts.empty() ? 0 : m_metadata.promptTokens;
+}
+
+milliseconds Exchange::prefixWait() const
+{
+    const auto prefix = TrafficEngine::sharedPrefix(m_admitted, m_metadata);
+    const milliseconds worthwhile(prefix.tokens / prefixTokensPerWait);
+    return std::min({ worthwhile, route().latencyObjective / prefixWaitDivisor, timeLeft() });
+}
+
+asio::awaitable<ReservationResult> Exchange::requestReservation(BackendServer& server, milliseconds waitWithin)
+{
+    const auto prefix = TrafficEngine::sharedPrefix(m_admitted, m_metadata);
     auto* broker = m_engine.reservationBroker();
     if (broker == nullptr)
-        co_return ReservationOutcome::Granted;
-    const auto limits = m_engine.reservationLimits(server, m_admitted);
-    co_return co_await broker->requestReservation(server, limits);
+        co_return ReservationResult { ReservationOutcome::Granted, prefix.hash != 0 && server.recordPrefix(prefix.hash) };
+    const ReservationDemand demand { m_engine.reservationLimits(server, m_admitted), prefix, promptTokens(), m_admitted.requestPriority(), waitWithin };
+    co_return co_await broker->requestReservation(server, demand);
 }
 
-asio::awaitable<Exchange::ReservationPtr> Exchange::acquireReservation()
+asio::awaitable<Exchange::ReservationPtr> Exchange::acquireReservation(PrefixWait prefixWaits)
 {
     auto excluded = m_triedServers;
     for (int denials = 0; denials < maxDenials && m_stopReason == StopReason::None; ++denials) {
-        const auto server = m_engine.choose(m_admitted, excluded);
+        const auto [server, reason] = m_engine.choose(m_admitted, excluded);
         if (!server)
             break;
-        auto reservation = std::make_shared<detail::ServerReservation>(m_engine, server, m_engine.uncachedTokens(*server, m_admitted, m_metadata));
-        const auto outcome = co_await requestReservation(*server);
+        m_choiceReason = reason;
+        auto reservation = std::make_shared<detail::ServerReservation>(m_engine, server, promptTokens());
+        const bool waits = prefixWaits == PrefixWait::Allowed && reason == ChoiceReason::Affinity;
+        const auto result = co_await requestReservation(*server, waits ? prefixWait() : milliseconds(0));
         // If the granting instance does not respond, proceed anyway: according to the local load data the server has
         // capacity.
-        if (outcome != ReservationOutcome::Denied) {
+        if (result.outcome != ReservationOutcome::Denied) {
+            if (result.isPrefixCached)
+                reservation->removeCachedTokens(static_cast<int64_t>(TrafficEngine::sharedPrefix(m_admitted, m_metadata).tokens));
             reservation->confirm();
             co_return reservation;
         }
@@ -166,7 +185,7 @@
         co_return co_await awaitSlot();
     const bool isRetry = !m_triedServers.empty();
     if (isRetry || m_engine.waitQueue(m_admitted.service).isEmpty()) {
-        auto reservation = co_await acquireReservation();
+        auto reservation = co_await acquireReservation(isRetry ? PrefixWait::None : PrefixWait::Allowed);
         if (reservation)
             co_return reservation;
     }
@@ -215,7 +234,7 @@
     const auto queuedAt = m_engine.clock().now();
     while (m_stopReason == StopReason::None && queueEntry.isWaiting()) {
         if (queueEntry.isFirst()) {
-            auto reservation = co_await acquireReservation();
+            auto reservation = co_await acquireReservation(PrefixWait::Allowed);
             if (reservation) {
                 queueEntry.dequeue();
                 recordWait(queuedAt);
@@ -271,7 +290,7 @@
         auto ticket = co_await awaitDecision(demand);
         auto server = m_engine.servers().find(ticket->server());
         if (ticket->outcome() == SlotTicket::Outcome::Unanswered) {
-            server = m_engine.choose(m_admitted, demand.excluded);
+            server = m_engine.choose(m_admitted, demand.excluded).server;
             if (server)
                 ticket->useWithoutGrant(server->hash());
         }
@@ -295,7 +314,7 @@
 asio::awaitable<Exchange::AttemptResult> Exchange::attempt(ReservationPtr reservation)
 {
     const auto server = reservation->server();
-    m_record.recordSend(*server, m_engine);
+    m_record.recordSend(*server, m_engine, { m_choiceReason, m_admitted.affinity, reservation->pendingTokens() });
     m_triedServers.push_back(server->hash());
     AttemptState state { std::move(reservation), server, server->pool().takeIdle() };
     if (!state.connection) {
@@ -372,7 +391,7 @@
 asio::awaitable<Exchange::AttemptResult> Exchange::receive(AttemptState& state)
 {
     const auto bodyKind = m_request.method() == boost::beast::http::verb::head ? ResponseReader::Body::None : ResponseReader::Body::Expected;
-    m_engine.recordPrompt(*state.server, m_admitted, m_metadata);
+    m_engine.countPrompt(m_metadata, state.reservation->pendingTokens());
     for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
         ResponseSource source(*state.connection, m_engine.scratch(), bodyKind);
         const auto& reader = source.reader();
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -54,6 +54,12 @@
         Aborted, ///< The caller disconnected or the deadline passed, or the response was cut off after its start.
     };
 
+    /** Whether a request may wait for the server that has its prompt prefix. */
+    enum class PrefixWait {
+        Allowed,
+        None,
+    };
+
     /** State of one attempt. */
     struct AttemptState {
         std::shared_ptr<detail::ServerReservation> reservation;
@@ -77,8 +83,14 @@
     Error rejectionError(const SlotTicket&);
 
     /** Chooses a backend server and reserves capacity on it; null if no server has any. */
-    boost::asio::awaitable<ReservationPtr> acquireReservation();
-    boost::asio::awaitable<ReservationOutcome> requestReservation(BackendServer&);
+    boost::asio::awaitable<ReservationPtr> acquireReservation(PrefixWait);
+
+    /** How long the request waits for a slot of the server that has its prompt prefix. */
+    std::chrono::milliseconds prefixWait() const;
+
+    /** Tokens that a server without any of the prompt in its cache has to prefill. */
+    int64_t promptTokens() const;
+    boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, std::chrono::milliseconds waitWithin);
     boost::asio::awaitable<AttemptResult> attempt(ReservationPtr);
     boost::asio::awaitable<AttemptResult> send(AttemptState&);
     boost::asio::awaitable<AttemptResult> receive(AttemptState&);
@@ -119,6 +131,7 @@
     AutoResetEvent m_wakeEvent;
     std::vector<uint64_t> m_triedServers; ///< Hashes of the backend servers to which an attempt was made.
     ExchangeRecord m_record;
+    ChoiceReason m_choiceReason = ChoiceReason::LeastLoaded; ///< Of the latest chosen server.
     int m_sendCount = 0;
     bool m_hasReservedRetry = false; ///< A retry was taken from the budget and has not been used yet.
     bool m_mayHaveRun = false;
--- a/modules/borageslip_traffic/engine/ExchangeRecord.h
+++ b/modules/borageslip_traffic/engine/ExchangeRecord.h
@@ -30,8 +30,15 @@
     /** Records the instance that granted or rejected a slot; empty if none answered. */
     void recordCoordinator(std::string name) { m_coordinator = std::move(name); }
 
+    /** Why a server was chosen, and what it is expected to prefill. */
+    struct Placement {
+        ChoiceReason reason = ChoiceReason::LeastLoaded;
+        uint64_t prefix = 0; ///< Hash of the prompt parts shared with other requests; 0 for none.
+        int64_t uncachedTokens = 0; ///< Prompt tokens.
+    };
+
     /** Records an attempt. The request must already count in the in-flight number of the server. */
-    void recordSend(const BackendServer&, const TrafficEngine&);
+    void recordSend(const BackendServer&, const TrafficEngine&, const Placement&);
 
     void log(Severity, std::string_view event, std::string_view outcome, std::string_view detail, const TrafficEngine&, const AdmittedRequest&) const;
 
@@ -42,6 +49,7 @@
         std::chrono::milliseconds after { 0 }; ///< Time since the request arrived.
         std::chrono::milliseconds storeDataAge { 0 }; ///< Time since the store confirmed the server list and the configuration.
         std::chrono::milliseconds loadAge { 0 }; ///< Mean age of the load reports of other instances on which the choice was based.
+        Placement placement;
         double meanInFlight = 0; ///< Mean number of requests per server of the service, as known to this instance.
     };
 
--- a/modules/borageslip_traffic/engine/ServerReservation.h
+++ b/modules/borageslip_traffic/engine/ServerReservation.h
@@ -2,6 +2,7 @@
 
 #include "TrafficEngine.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace borageslip::detail {
@@ -39,6 +40,17 @@
     /** Marks the reservation as used, so that its release is announced to the other instances and the queue. */
     void confirm() { m_isConfirmed = true; }
 
+    /** Prompt tokens that the server has to prefill. */
+    int64_t pendingTokens() const { return m_tokens; }
+
+    /** To be called when the server turns out to have tokens of the prompt in its prefix cache. */
+    void removeCachedTokens(int64_t tokens)
+    {
+        const auto removed = std::min(tokens, m_tokens);
+        m_tokens -= removed;
+        m_server->addPendingPrefill(-removed);
+    }
+
     /** To be called when the response begins or is lost: the server then no longer has to prefill the prompt. */
     void onResponseBegun()
     {
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -110,21 +110,20 @@
     return admitted;
 }
 
-int64_t TrafficEngine::uncachedTokens(const BackendServer& server, const AdmittedRequest& admitted, const RequestMetadata& metadata) const
+SharedPrefix TrafficEngine::sharedPrefix(const AdmittedRequest& admitted, const RequestMetadata& metadata)
 {
     if (metadata.promptParts.empty())
-        return 0;
-    return server.isPrefixKnown(admitted.affinity) ? metadata.promptParts.back().tokens : metadata.promptTokens;
+        return {};
+    const int64_t own = metadata.promptParts.back().tokens;
+    return { admitted.affinity, static_cast<uint64_t>(std::max<int64_t>(0, static_cast<int64_t>(metadata.promptTokens) - own)) };
 }
 
-void TrafficEngine::recordPrompt(BackendServer& server, const AdmittedRequest& admitted, const RequestMetadata& metadata)
+void TrafficEngine::countPrompt(const RequestMetadata& metadata, int64_t uncached)
 {
     if (metadata.promptParts.empty())
         return;
-    const int64_t tokens = uncachedTokens(server, admitted, metadata);
-    server.recordPrefix(admitted.affinity);
     m_counts.promptTokens += metadata.promptTokens;
-    m_counts.promptTokensCached += static_cast<uint64_t>(std::max<int64_t>(0, metadata.promptTokens - tokens));
+    m_counts.promptTokensCached += static_cast<uint64_t>(std::max<int64_t>(0, metadata.promptTokens - uncached));
 }
 
 ReservationLimits TrafficEngine::reservationLimits(const BackendServer& server, const AdmittedRequest& admitted)
@@ -159,7 +158,7 @@
     return count == 0 ? 0 : static_cast<double>(total) / count;
 }
 
-BackendServerPtr TrafficEngine::choose(const AdmittedRequest& admitted, std::span<const uint64_t> excluded)
+TrafficEngine::ChosenServer TrafficEngine::choose(const AdmittedRequest& admitted, std::span<const uint64_t> excluded)
 {
     const auto now = m_clock.now();
     const auto& health = m_servers.health(admitted.service);
@@ -173,15 +172,15 @@
         const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), admitted.hash, now);
         const int slots = keepsReserve ? PriorityReserve::unreservedSlots(server->description().slots) : server->description().slots;
         m_candidates.push_back({ server->hash(), server->inFlight(), slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
-            server->description().failureDomain == m_settings.failureDomain });
+            server->description().failureDomain == m_settings.failureDomain, m_reservationBroker != nullptr && server->isLoadOutdated() });
         m_candidateServers.push_back(server);
     }
     const auto affinity = admitted.route->reusesPrefixes ? admitted.affinity : 0;
     const auto choice = chooseServer(m_candidates, affinity, admitted.hash, m_settings.choice);
     if (!choice)
-        return nullptr;
+        return {};
     ++m_counts.placements.at(static_cast<size_t>(choice->reason));
-    return m_candidateServers[choice->index];
+    return { m_candidateServers[choice->index], choice->reason };
 }
 
 size_t TrafficEngine::waitingCount() const
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -89,16 +89,20 @@
         Errors: Draining, NoConfiguration, NotFound, StoreUnavailable, Unauthenticated. */
     Result<AdmittedRequest> admit(const HttpRequest&, const RequestMetadata&) const;
 
-    /** Chooses a backend server with free capacity and counts the reason; null if there is none.
+    struct ChosenServer {
+        BackendServerPtr server; ///< Null if none has free capacity.
+        ChoiceReason reason = ChoiceReason::LeastLoaded;
+    };
+
+    /** Chooses a backend server with free capacity and counts the reason.
         @param excluded hashes of the servers that must not be chosen. */
-    BackendServerPtr choose(const AdmittedRequest&, std::span<const uint64_t> excluded);
+    ChosenServer choose(const AdmittedRequest&, std::span<const uint64_t> excluded);
 
-    /** Prompt tokens of the request that are not expected in the prefix cache of the server. */
-    int64_t uncachedTokens(const BackendServer&, const AdmittedRequest&, const RequestMetadata&) const;
+    /** The part of the request's prompt that other requests share. */
+    static SharedPrefix sharedPrefix(const AdmittedRequest&, const RequestMetadata&);
 
-    /** Records that the server has the prompt in its prefix cache, and counts the prompt tokens. To be called once per
-        attempt. */
-    void recordPrompt(BackendServer&, const AdmittedRequest&, const RequestMetadata&);
+    /** Counts the prompt tokens of an attempt. @param uncached tokens that are not expected in the prefix cache of the server. */
+    void countPrompt(const RequestMetadata&, int64_t uncached);
 
     /** Sets the broker that grants reservations; without one, every reservation is granted. The broker must outlive all
         requests. */
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -19,6 +19,7 @@
     uint64_t promptTokensCached = 0; ///< The part of promptTokens that was expected in the prefix cache of the server.
     std::array<uint64_t, choiceReasonCount> placements {}; ///< By ChoiceReason.
     std::array<uint64_t, reservationOutcomeCount> reservationRequests {}; ///< Sent to other instances; by ReservationOutcome.
+    uint64_t reservationWaits = 0; ///< Reservation requests that waited at a coordinator for a slot.
     std::array<uint64_t, SlotTicket::outcomeCount> slotRequests {}; ///< Requests for slots from the queue of a service; by SlotTicket::Outcome.
     DurationHistogram durations; ///< From the first byte of a request to its end.
     DurationHistogram waits; ///< Time in the queue, of requests that were queued.
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -167,6 +167,7 @@
         histogram("borageslip_entry_wait_seconds", "Time that requests waited for a place, of those that had to wait", counts.waits),
         placements(counts),
         reservationRequests(counts),
+        counter("borageslip_entry_reservation_waits_total", "Reservation requests that waited for a slot of the server that has their prompt prefix", counts.reservationWaits),
         slotRequests(counts),
         counter("borageslip_entry_prompt_tokens_total", "Prompt tokens of requests sent to backend servers", counts.promptTokens),
         counter("borageslip_entry_prompt_tokens_cached_total", "Prompt tokens expected to be cached where they were sent", counts.promptTokensCached),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -229,6 +229,10 @@
     const auto changes = m_reportTable.apply(std::move(report), m_engine.clock().now());
     for (const auto server : changes.servers)
         updatePeerUsage(server);
+    for (const auto hash : changes.servers) {
+        if (const auto server = m_engine.servers().find(hash); server && m_waitList.first(hash) != nullptr)
+            grantWaiting(*server);
+    }
     m_engine.servers().recordPeerOutcomes(changes.outcomes);
 }
 
@@ -236,7 +240,7 @@
 {
     if (const auto listed = m_engine.servers().find(server)) {
         const auto usage = m_reportTable.totalUsage(server, m_engine.clock().now());
-        listed->setPeerUsage(static_cast<int>(usage.inFlight), static_cast<int64_t>(usage.pendingPrefill));
+        listed->setReportedUsage(static_cast<int>(usage.inFlight), static_cast<int64_t>(usage.pendingPrefill));
     }
 }
 
@@ -244,36 +248,115 @@
 {
     const auto now = m_engine.clock().now();
     const auto server = m_engine.servers().find(message.usage.server);
-    if (!message.isRequest || !server) {
+    const bool isApplied = m_reportTable.applyUsage(message, now);
+    updatePeerUsage(message.usage.server);
+    if (!server) {
         // A new server may not be listed at this instance yet. A reservation for it is granted, because the sender has
         // already checked the limits.
-        m_reportTable.applyUsage(message, now);
-        updatePeerUsage(message.usage.server);
         if (message.isRequest)
-            send(encodeReservationReply({ message.sequence, true, message.usage }), sender);
+            send(encodeReservationReply({ message.sequence, true, false, message.usage }), sender);
         return;
     }
-    auto withoutReservation = message;
-    withoutReservation.usage.inFlight -= std::min(withoutReservation.usage.inFlight, 1u);
-    withoutReservation.usage.pendingPrefill = std::min(message.usage.pendingPrefill, m_reportTable.usageBy(message.sender, message.usage.server).pendingPrefill);
-    if (!m_reportTable.applyUsage(withoutReservation, now))
+    if (message.isRequest && isApplied)
+        decideReservation(*server, message, sender);
+    else
+        grantWaiting(*server);
+}
+
+ServerUsage PeerLink::grantedUsage(const BackendServer& server) const
+{
+    const auto others = m_reportTable.totalUsage(server.hash(), m_engine.clock().now());
+    const auto waiting = m_waitList.usage(server.hash());
+    const auto requests = others.inFlight + static_cast<uint32_t>(server.ownInFlight());
+    const auto tokens = others.pendingPrefill + static_cast<uint64_t>(std::max<int64_t>(0, server.ownPendingPrefill()));
+    return { server.hash(), requests - std::min(requests, waiting.inFlight), tokens - std::min(tokens, waiting.pendingPrefill) };
+}
+
+bool PeerLink::canGrant(const BackendServer& server, const ServerUsage& usage, const ReservationLimits& limits) const
+{
+    const ReservationContext context { usage, m_engine.meanInFlight(server.description().service) };
+    return server.isInService() && canGrantReservation(context, limits, m_engine.choiceLimits().capFactor);
+}
+
+void PeerLink::decideReservation(BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
+{
+    auto usage = grantedUsage(server);
+    usage.inFlight -= std::min(usage.inFlight, 1u);
+    usage.pendingPrefill -= std::min(usage.pendingPrefill, message.promptTokens);
+    const bool isBehind = m_waitList.hasBefore(server.hash(), message.priority);
+    if (!isBehind && canGrant(server, usage, message.limits))
+        return grantReservation(server, message, sender);
+    const bool lacksSlot = isBehind || (message.limits.slots != 0 && usage.inFlight >= message.limits.slots);
+    if (!lacksSlot || !server.isInService() || !m_waitList.hasRoom(message))
+        return denyReservation(server, message, sender);
+    m_waitList.add({ message, sender, m_engine.clock().now() + message.waitWithin });
+    replyTo(message, sender, { message.sequence, false, true, usage });
+    m_pollEvent.notify();
+}
+
+void PeerLink::grantReservation(BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
+{
+    const bool isPrefixCached = message.prefix.hash != 0 && server.recordPrefix(message.prefix.hash);
+    if (isPrefixCached)
+        reduceUsage(message, { server.hash(), 0, message.prefix.tokens });
+    replyTo(message, sender, { message.sequence, true, false, grantedUsage(server), isPrefixCached });
+}
+
+void PeerLink::denyReservation(const BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
+{
+    reduceUsage(message, { server.hash(), 1, message.promptTokens });
+    replyTo(message, sender, { message.sequence, false, false, grantedUsage(server) });
+}
+
+void PeerLink::reduceUsage(const ReservationMessage& message, const ServerUsage& part)
+{
+    // The usage of this instance is not in the table.
+    if (message.sender == m_ownName)
         return;
-    updatePeerUsage(message.usage.server);
-    const ReservationContext context { { message.usage.server, static_cast<uint32_t>(server->inFlight()), static_cast<uint64_t>(server->pendingPrefill()) }, m_engine.meanInFlight(server->description().service) };
-    const bool isGranted = server->isInService() && canGrantReservation(context, message.limits, m_engine.choiceLimits().capFactor);
-    if (isGranted)
-        m_reportTable.setUsage(message.sender, message.usage);
-    updatePeerUsage(message.usage.server);
-    send(encodeReservationReply({ message.sequence, isGranted, { message.usage.server, static_cast<uint32_t>(server->inFlight()), static_cast<uint64_t>(server->pendingPrefill()) } }), sender);
+    auto usage = m_reportTable.usageBy(message.sender, part.server);
+    usage.inFlight -= std::min(usage.inFlight, part.inFlight);
+    usage.pendingPrefill -= std::min(usage.pendingPrefill, part.pendingPrefill);
+    m_reportTable.setUsage(message.sender, usage);
+    updatePeerUsage(part.server);
+}
+
+void PeerLink::replyTo(const ReservationMessage& message, const udp::endpoint& sender, const ReservationReply& reply)
+{
+    if (message.sender == m_ownName)
+        receiveReservationReply(reply);
+    else
+        send(encodeReservationReply(reply), sender);
+}
+
+void PeerLink::grantWaiting(BackendServer& server)
+{
+    while (const auto* first = m_waitList.first(server.hash())) {
+        if (!canGrant(server, grantedUsage(server), first->message.limits))
+            return;
+        const auto granted = m_waitList.takeFirst(server.hash());
+        grantReservation(server, granted.message, granted.sender);
+    }
+}
+
+void PeerLink::denyExpired()
+{
+    for (const auto& expired : m_waitList.takeExpired(m_engine.clock().now())) {
+        if (const auto server = m_engine.servers().find(expired.message.usage.server))
+            denyReservation(*server, expired.message, expired.sender);
+    }
 }
 
 void PeerLink::receiveReservationReply(const ReservationReply& reply)
 {
     const auto found = m_pendingRequests.find(reply.sequence);
-    if (found == m_pendingRequests.end())
+    if (found != m_pendingRequests.end()) {
+        found->second.reply = reply;
+        found->second.signal->notify();
         return;
-    found->second.reply = reply;
-    found->second.signal->notify();
+    }
+    // The request has ended in the meantime, and the coordinator counts it.
+    if (const auto server = m_engine.servers().find(reply.usage.server); server && reply.isGranted)
+        notifyUsageChanged(*server);
 }
 
 PeerLink::ListedMember* PeerLink::coordinator(uint64_t server)
@@ -319,38 +402,66 @@
     m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), to, 0, ignored);
 }
 
-asio::awaitable<ReservationOutcome> PeerLink::requestReservation(BackendServer& server, ReservationLimits limits)
+asio::awaitable<ReservationResult> PeerLink::requestReservation(BackendServer& server, ReservationDemand demand)
 {
     auto* found = coordinator(server.hash());
-    if (found == nullptr || !m_socket.is_open())
-        co_return ReservationOutcome::Granted;
     auto message = usageMessage(server);
     message.isRequest = true;
-    message.limits = limits;
-    const auto name = found->member.name;
+    message.limits = demand.limits;
+    message.prefix = demand.prefix;
+    message.promptTokens = static_cast<uint64_t>(demand.promptTokens);
+    message.priority = demand.priority;
+    message.waitWithin = demand.waitWithin;
+    const bool isOwn = found == nullptr || !m_socket.is_open();
+    const auto name = isOwn ? m_ownName : found->member.name;
     AutoResetEvent signal(m_engine.executor());
     m_pendingRequests[message.sequence] = { &signal, {} };
-    send(encodeReservationMessage(message), found->member.peerAddress);
+    if (isOwn)
+        decideReservation(server, message, {});
+    else
+        send(encodeReservationMessage(message), found->member.peerAddress);
     co_await signal.waitFor(replyTimeout);
-    const auto reply = m_pendingRequests.extract(message.sequence).mapped().reply;
+    const auto& pending = m_pendingRequests.at(message.sequence);
     if (const auto member = m_members.find(name); member != m_members.end())
-        recordReplyResult(member->second, reply.has_value());
-    const auto outcome = !reply ? ReservationOutcome::TimedOut : reply->isGranted ? ReservationOutcome::Granted
-                                                                                  : ReservationOutcome::Denied;
+        recordReplyResult(member->second, pending.reply.has_value());
+    if (pending.reply && pending.reply->isWaiting) {
+        ++m_engine.counts().reservationWaits;
+        co_await signal.waitFor(demand.waitWithin + replyTimeout);
+    }
+    const auto reply = m_pendingRequests.extract(message.sequence).mapped().reply;
+    co_return resultOf(server, demand, reply);
+}
+
+ReservationResult PeerLink::resultOf(BackendServer& server, const ReservationDemand& demand, const std::optional<ReservationReply>& reply)
+{
+    auto outcome = ReservationOutcome::TimedOut;
+    if (reply)
+        outcome = reply->isGranted ? ReservationOutcome::Granted : ReservationOutcome::Denied;
     ++m_engine.counts().reservationRequests.at(static_cast<size_t>(outcome));
-    // The reply is more recent than the reports.
-    if (reply) {
-        const int ownCounted = server.ownInFlight() - (reply->isGranted ? 0 : 1);
-        const int64_t ownTokens = server.ownPendingPrefill();
-        server.setPeerUsage(std::max(0, static_cast<int>(reply->usage.inFlight) - ownCounted), std::max<int64_t>(0, static_cast<int64_t>(reply->usage.pendingPrefill) - ownTokens));
+    if (!reply) {
+        const ServerUsage known { server.hash(), static_cast<uint32_t>(std::max(0, server.inFlight() - 1)), static_cast<uint64_t>(std::max<int64_t>(0, server.pendingPrefill() - demand.promptTokens)) };
+        return { canGrant(server, known, demand.limits) ? ReservationOutcome::TimedOut : ReservationOutcome::Denied };
     }
-    co_return outcome;
+    // The second reply was lost: the coordinator may count the request.
+    if (reply->isWaiting)
+        asio::post(m_engine.executor(), [this, hash = server.hash()] {
+            if (const auto listed = m_engine.servers().find(hash))
+                notifyUsageChanged(*listed);
+        });
+    // The reply is more recent than the reports.
+    const int ownCounted = server.ownInFlight() - (reply->isGranted ? 0 : 1);
+    const auto cachedTokens = static_cast<int64_t>(reply->isPrefixCached ? demand.prefix.tokens : 0);
+    const int64_t ownTokens = server.ownPendingPrefill() - (reply->isGranted ? cachedTokens : demand.promptTokens);
+    server.setStatedUsage(std::max(0, static_cast<int>(reply->usage.inFlight) - ownCounted), std::max<int64_t>(0, static_cast<int64_t>(reply->usage.pendingPrefill) - ownTokens));
+    return { outcome, reply->isPrefixCached };
 }
 
-void PeerLink::notifyUsageChanged(const BackendServer& server)
+void PeerLink::notifyUsageChanged(BackendServer& server)
 {
     auto* found = coordinator(server.hash());
-    if (found != nullptr && m_socket.is_open())
+    if (found == nullptr)
+        grantWaiting(server);
+    else if (m_socket.is_open())
         send(encodeReservationMessage(usageMessage(server)), found->member.peerAddress);
 }
 
@@ -362,7 +473,9 @@
 asio::awaitable<void> PeerLink::pollCoordination()
 {
     while (m_socket.is_open()) {
-        const auto next = m_coordination.nextPoll();
+        auto next = m_coordination.nextPoll();
+        if (const auto expiry = m_waitList.nextExpiry())
+            next = next ? std::min(*next, *expiry) : *expiry;
         if (next) {
             const auto delay = std::max(Duration::zero(), *next - m_engine.clock().now());
             co_await m_pollEvent.waitFor(delay);
@@ -370,6 +483,7 @@
             co_await m_pollEvent.wait();
         }
         m_coordination.poll();
+        denyExpired();
     }
 }
 
@@ -525,7 +639,7 @@
     for (const auto& [id, server] : m_engine.servers().all()) {
         const auto found = usages.find(server->hash());
         const auto usage = found == usages.end() ? ServerUsage() : found->second;
-        server->setPeerUsage(static_cast<int>(usage.inFlight), static_cast<int64_t>(usage.pendingPrefill));
+        server->setReportedUsage(static_cast<int>(usage.inFlight), static_cast<int64_t>(usage.pendingPrefill));
     }
 }
 
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../engine/TrafficEngine.h"
+#include "../limits/ReservationWaitList.h"
 #include "../net/AutoResetEvent.h"
 #include "Member.h"
 #include "PeerReportTable.h"
@@ -54,8 +55,8 @@
         recent report are included while they are newly listed, or when no message arrives from any member. */
     std::vector<boost::asio::ip::tcp::endpoint> callerAddresses() const;
 
-    boost::asio::awaitable<ReservationOutcome> requestReservation(BackendServer&, ReservationLimits) override;
-    void notifyUsageChanged(const BackendServer&) override;
+    boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, ReservationDemand) override;
+    void notifyUsageChanged(BackendServer&) override;
     std::unique_ptr<SlotTicket> requestSlot(SlotDemand, std::function<void()> onDecision) override;
 
     /** Sources from which this instance reads the store, in order of preference; nothing stands for the store itself.
@@ -120,6 +121,27 @@
 
     /** The member that coordinates the server; null when it is this instance, or when there is none. */
     ListedMember* coordinator(uint64_t server);
+
+    /** Usage of the server by all instances, without the requests that wait for it. */
+    ServerUsage grantedUsage(const BackendServer&) const;
+
+    /** Whether this instance grants a reservation. @param usage of the server without the reservation. */
+    bool canGrant(const BackendServer&, const ServerUsage& usage, const ReservationLimits&) const;
+
+    /** Decides on a request that the sender has counted at the server. */
+    void decideReservation(BackendServer&, const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
+    void grantReservation(BackendServer&, const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
+    void denyReservation(const BackendServer&, const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
+    void replyTo(const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender, const ReservationReply&);
+
+    /** Subtracts from the sender's usage of the server what it counted for the request in vain. */
+    void reduceUsage(const ReservationMessage&, const ServerUsage& part);
+
+    /** Grants free slots of the server to the requests that wait for it. */
+    void grantWaiting(BackendServer&);
+    void denyExpired();
+    ReservationResult resultOf(BackendServer&, const ReservationDemand&, const std::optional<ReservationReply>&);
+
     /** Excludes a member as a coordinator after repeated timeouts. */
     void recordReplyResult(ListedMember&, bool hasReplied);
     /** Records that a message of the member has arrived. */
@@ -154,6 +176,7 @@
     std::unordered_map<uint64_t, PendingRequest> m_pendingRequests; ///< By sequence of the request.
     mutable std::map<std::string, KnownCoordinator, std::less<>> m_coordinators; ///< By service.
     CurrentSender m_currentSender;
+    ReservationWaitList m_waitList; ///< Of the servers that this instance coordinates.
     AutoResetEvent m_pollEvent;
     ServiceCoordination m_coordination;
 };
--- a/modules/borageslip_traffic/peers/ReservationMessages.cpp
+++ b/modules/borageslip_traffic/peers/ReservationMessages.cpp
@@ -24,9 +24,11 @@
 
     Result<PeerMessage> reservationMessageFrom(const nlohmann::json& document)
     {
-        if (document.size() != 10 || !document[1].is_string() || !document[7].is_boolean() || !areNumbers(document, { 2, 3, 4, 5, 6, 8, 9 }))
+        if (document.size() != 16 || !document[1].is_string() || !document[7].is_boolean() || !areNumbers(document, { 2, 3, 4, 5, 6, 8, 9, 10, 11, 12 }))
             return malformed();
-        return PeerMessage(ReservationMessage { document[1], document[2], document[3], { document[4], document[5], document[6] }, document[7], { document[8], document[9] } });
+        if (!isPriorityField(document[13]) || !isPriorityField(document[14]) || !isTimeField(document[15]))
+            return malformed();
+        return PeerMessage(ReservationMessage { document[1], document[2], document[3], { document[4], document[5], document[6] }, document[7], { document[8], document[9] }, { document[10], document[11] }, document[12], { document[13], document[14] }, std::chrono::milliseconds(document[15].get<int64_t>()) });
     }
 
     template <typename Message>
@@ -39,9 +41,9 @@
 
     Result<PeerMessage> reservationReplyFrom(const nlohmann::json& document)
     {
-        if (document.size() != 6 || !document[2].is_boolean() || !areNumbers(document, { 1, 3, 4, 5 }))
+        if (document.size() != 8 || !document[2].is_boolean() || !document[3].is_boolean() || !document[7].is_boolean() || !areNumbers(document, { 1, 4, 5, 6 }))
             return malformed();
-        return PeerMessage(ReservationReply { document[1], document[2], { document[3], document[4], document[5] } });
+        return PeerMessage(ReservationReply { document[1], document[2], document[3], { document[4], document[5], document[6] }, document[7] });
     }
 
 }
@@ -49,12 +51,12 @@
 std::vector<uint8_t> encodeReservationMessage(const ReservationMessage& message)
 {
     const auto& usage = message.usage;
-    return nlohmann::json::to_cbor(nlohmann::json::array({ reservationMessageKind, message.sender, message.incarnation, message.sequence, usage.server, usage.inFlight, usage.pendingPrefill, message.isRequest, message.limits.slots, message.limits.pendingPrefill }));
+    return nlohmann::json::to_cbor(nlohmann::json::array({ reservationMessageKind, message.sender, message.incarnation, message.sequence, usage.server, usage.inFlight, usage.pendingPrefill, message.isRequest, message.limits.slots, message.limits.pendingPrefill, message.prefix.hash, message.prefix.tokens, message.promptTokens, message.priority.account, message.priority.route, static_cast<uint64_t>(message.waitWithin.count()) }));
 }
 
 std::vector<uint8_t> encodeReservationReply(const ReservationReply& reply)
 {
-    return nlohmann::json::to_cbor(nlohmann::json::array({ reservationReplyKind, reply.sequence, reply.isGranted, reply.usage.server, reply.usage.inFlight, reply.usage.pendingPrefill }));
+    return nlohmann::json::to_cbor(nlohmann::json::array({ reservationReplyKind, reply.sequence, reply.isGranted, reply.isWaiting, reply.usage.server, reply.usage.inFlight, reply.usage.pendingPrefill, reply.isPrefixCached }));
 }
 
 Result<PeerMessage> decodePeerMessage(std::span<const uint8_t> bytes)
--- a/modules/borageslip_traffic/peers/ReservationMessages.h
+++ b/modules/borageslip_traffic/peers/ReservationMessages.h
@@ -3,6 +3,7 @@
 #include "PeerReport.h"
 #include "ServiceMessages.h"
 
+#include <chrono>
 #include <variant>
 
 namespace borageslip {
@@ -15,6 +16,14 @@
     bool operator==(const ReservationLimits&) const = default;
 };
 
+/** The part of a prompt that other requests share. */
+struct SharedPrefix {
+    uint64_t hash = 0; ///< 0 for none.
+    uint64_t tokens = 0; ///< That a server does not prefill if it has the prefix in its prefix cache.
+
+    bool operator==(const SharedPrefix&) const = default;
+};
+
 /** Sent to a server's coordinator to update the sender's usage of the server, or to request a reservation there.
 
     The usage is a total and includes the requested reservation, so that lost and repeated messages cause no lasting
@@ -24,9 +33,13 @@
     std::string sender;
     uint64_t incarnation = 0; ///< Identifies the sender's process; increases with each start.
     uint64_t sequence = 0; ///< Shares one series with the sender's reports.
-    ServerUsage usage;
+    ServerUsage usage; ///< With the whole prompt of a requested reservation, whether it is cached or not.
     bool isRequest = false; ///< Whether a reservation is requested.
     ReservationLimits limits {};
+    SharedPrefix prefix {}; ///< Of the request.
+    uint64_t promptTokens = 0; ///< Of the request; part of the usage.
+    RequestPriority priority {};
+    std::chrono::milliseconds waitWithin { 0 }; ///< For which the request waits for a slot if the server has none.
 
     bool operator==(const ReservationMessage&) const = default;
 };
@@ -35,7 +48,9 @@
 struct ReservationReply {
     uint64_t sequence = 0; ///< Sequence of the request.
     bool isGranted = false;
+    bool isWaiting = false; ///< Whether the request waits for a slot; a second reply decides on it.
     ServerUsage usage; ///< Total of all instances at the server, including a granted reservation.
+    bool isPrefixCached = false; ///< Whether the server probably has the prefix in its cache; the usage is then without its tokens.
 
     bool operator==(const ReservationReply&) const = default;
 };
--- a/modules/borageslip_traffic/peers/ServiceMessages.cpp
+++ b/modules/borageslip_traffic/peers/ServiceMessages.cpp
@@ -17,17 +17,6 @@
         return { ErrorKind::InvalidMessage, "malformed message about slots of a service" };
     }
 
-    bool isTime(const json& field)
-    {
-        return field.is_number_unsigned() && field.get<uint64_t>() <= static_cast<uint64_t>(maxTime.count());
-    }
-
-    bool isPriority(const json& field)
-    {
-        constexpr int64_t limit = 1'000'000;
-        return field.is_number_integer() && field.get<int64_t>() >= -limit && field.get<int64_t>() <= limit;
-    }
-
     bool isHashList(const json& field)
     {
         return field.is_array() && std::all_of(field.begin(), field.end(), [](const json& hash) { return hash.is_number_unsigned(); });
@@ -45,7 +34,7 @@
 
     bool isSlotRequest(const json& row)
     {
-        return row.is_array() && row.size() == 7 && row[0].is_number_unsigned() && isPriority(row[1]) && isPriority(row[2]) && row[3].is_number_unsigned() && isTime(row[4]) && isTime(row[5]) && isHashList(row[6]);
+        return row.is_array() && row.size() == 7 && row[0].is_number_unsigned() && isPriorityField(row[1]) && isPriorityField(row[2]) && row[3].is_number_unsigned() && isTimeField(row[4]) && isTimeField(row[5]) && isHashList(row[6]);
     }
 
     bool isHeldSlot(const json& row)
@@ -55,7 +44,7 @@
 
     bool isDecision(const json& row)
     {
-        return row.is_array() && row.size() == 4 && row[0].is_number_unsigned() && row[1].is_boolean() && row[2].is_number_unsigned() && isTime(row[3]);
+        return row.is_array() && row.size() == 4 && row[0].is_number_unsigned() && row[1].is_boolean() && row[2].is_number_unsigned() && isTimeField(row[3]);
     }
 
     bool areAll(const json& rows, bool (*isValid)(const json&))
@@ -65,6 +54,17 @@
 
 }
 
+bool isTimeField(const json& field)
+{
+    return field.is_number_unsigned() && field.get<uint64_t>() <= static_cast<uint64_t>(maxTime.count());
+}
+
+bool isPriorityField(const json& field)
+{
+    constexpr int64_t limit = 1'000'000;
+    return field.is_number_integer() && field.get<int64_t>() >= -limit && field.get<int64_t>() <= limit;
+}
+
 std::vector<uint8_t> encodeServiceState(const ServiceState& state)
 {
     auto waiting = json::array();
--- a/modules/borageslip_traffic/peers/ServiceMessages.h
+++ b/modules/borageslip_traffic/peers/ServiceMessages.h
@@ -97,6 +97,12 @@
 
 /** Decode a CBOR array whose first element is the message kind below. Errors: InvalidMessage when it is not a valid
     message of that kind. */
+/** Whether a field of a message is a time in milliseconds within the longest one that is valid. */
+bool isTimeField(const nlohmann::json&);
+
+/** Whether a field of a message is a priority within the range that is valid. */
+bool isPriorityField(const nlohmann::json&);
+
 Result<ServiceState> serviceStateFrom(const nlohmann::json&);
 Result<ServiceDecisions> serviceDecisionsFrom(const nlohmann::json&);
 Result<CoordinatorNotice> coordinatorNoticeFrom(const nlohmann::json&);
--- a/modules/borageslip_traffic/placement/RecentPrefixes.h
+++ b/modules/borageslip_traffic/placement/RecentPrefixes.h
@@ -19,8 +19,6 @@
         return false;
     }
 
-    bool contains(uint64_t affinity) const { return m_prefixes.peek(affinity) != nullptr; }
-
 private:
     static constexpr size_t maxPrefixes = 128;
 
--- a/modules/borageslip_traffic/placement/ReservationBroker.h
+++ b/modules/borageslip_traffic/placement/ReservationBroker.h
@@ -17,6 +17,20 @@
 };
 constexpr size_t reservationOutcomeCount = 3;
 
+/** What a request needs of one backend server. */
+struct ReservationDemand {
+    ReservationLimits limits;
+    SharedPrefix prefix;
+    int64_t promptTokens = 0; ///< Counted at the server beforehand.
+    RequestPriority priority {};
+    std::chrono::milliseconds waitWithin { 0 }; ///< For which the request waits for a slot if the server has none.
+};
+
+struct ReservationResult {
+    ReservationOutcome outcome = ReservationOutcome::TimedOut;
+    bool isPrefixCached = false; ///< Whether the server probably has the prefix in its prefix cache.
+};
+
 /** Requests reservations for capacity at backend servers from the instances that coordinate them.
 
     Not thread-safe: call it from the event loop that owns it.
@@ -27,14 +41,14 @@
 
     /** Requests a reservation for one request at a backend server. The caller must have counted the request at the
         server beforehand, so that a load report sent in the meantime includes it. */
-    virtual boost::asio::awaitable<ReservationOutcome> requestReservation(BackendServer&, ReservationLimits) = 0;
+    virtual boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, ReservationDemand) = 0;
 
     /** Queues a request for a slot at any server of a service.
         @param onDecision called when the ticket's outcome has changed; must not destroy the ticket. */
     virtual std::unique_ptr<SlotTicket> requestSlot(SlotDemand, std::function<void()> onDecision) = 0;
 
     /** Notifies the server's coordinator that this instance's usage of the server has changed. */
-    virtual void notifyUsageChanged(const BackendServer&) = 0;
+    virtual void notifyUsageChanged(BackendServer&) = 0;
 };
 
 }
--- a/modules/borageslip_traffic/placement/ServerChoice.cpp
+++ b/modules/borageslip_traffic/placement/ServerChoice.cpp
@@ -11,10 +11,15 @@
 
 namespace {
 
-    bool isEligible(const ServerCandidate& candidate, double cap)
+    bool isWithinCap(const ServerCandidate& candidate, double cap)
     {
         const bool hasSlot = candidate.slots == 0 || candidate.inFlight < candidate.slots;
-        return !candidate.isExcluded && hasSlot && candidate.inFlight <= cap;
+        return hasSlot && candidate.inFlight <= cap;
+    }
+
+    bool isEligible(const ServerCandidate& candidate, double cap)
+    {
+        return !candidate.isExcluded && isWithinCap(candidate, cap);
     }
 
     double meanInFlight(std::span<const ServerCandidate> candidates)
@@ -47,6 +52,36 @@
         return *std::min_element(eligible.begin(), eligible.end(), [&](size_t first, size_t second) { return key(first) < key(second); });
     }
 
+    /** The first candidate in the rendezvous order that may take a request because of its affinity. */
+    std::optional<ServerChoice> firstInOrder(std::span<const ServerCandidate> candidates, uint64_t affinity, double mean, const ServerChoiceLimits& limits)
+    {
+        struct Ranked {
+            double score;
+            size_t index;
+            bool operator<(const Ranked& other) const { return score < other.score; }
+        };
+        std::vector<Ranked> order;
+        order.reserve(candidates.size());
+        for (size_t i = 0; i < candidates.size(); ++i)
+            order.push_back({ rendezvousScore(affinity, candidates[i].hash), i });
+        // A heap, because the first few candidates decide nearly always.
+        std::make_heap(order.begin(), order.end());
+        const double cap = limits.capFactor * mean + capMargin;
+        const double bound = limits.affinityFactor * mean + limits.affinityMargin;
+        for (bool isFirst = true; !order.empty(); isFirst = false) {
+            std::pop_heap(order.begin(), order.end());
+            const auto index = order.back().index;
+            order.pop_back();
+            const auto& candidate = candidates[index];
+            if (candidate.isExcluded || candidate.isEjected || candidate.isCold)
+                continue;
+            const bool isWithinLimits = isWithinCap(candidate, cap) && candidate.inFlight < bound && candidate.pendingPrefill < limits.pendingPrefill;
+            if (isWithinLimits || candidate.isLoadOutdated)
+                return ServerChoice { index, isFirst ? ChoiceReason::Affinity : ChoiceReason::Spill };
+        }
+        return std::nullopt;
+    }
+
 }
 
 const char* choiceReasonName(ChoiceReason reason)
@@ -60,21 +95,13 @@
     if (candidates.empty())
         return std::nullopt;
     const double mean = meanInFlight(candidates);
-    auto eligible = eligibleCandidates(candidates, limits.capFactor * mean + capMargin);
+    const auto eligible = eligibleCandidates(candidates, limits.capFactor * mean + capMargin);
+    if (affinity != 0) {
+        if (const auto choice = firstInOrder(candidates, affinity, mean, limits))
+            return choice;
+    }
     if (eligible.empty())
         return std::nullopt;
-    if (affinity == 0)
-        return ServerChoice { leastLoaded(candidates, eligible, tieBreak), ChoiceReason::LeastLoaded };
-
-    std::sort(eligible.begin(), eligible.end(), [&](size_t first, size_t second) {
-        return rendezvousScore(affinity, candidates[first].hash) > rendezvousScore(affinity, candidates[second].hash);
-    });
-    const double bound = limits.affinityFactor * mean + limits.affinityMargin;
-    for (const auto i : eligible) {
-        const auto& candidate = candidates[i];
-        if (!candidate.isCold && candidate.inFlight < bound && candidate.pendingPrefill < limits.pendingPrefill)
-            return ServerChoice { i, i == eligible.front() ? ChoiceReason::Affinity : ChoiceReason::Spill };
-    }
     return ServerChoice { leastLoaded(candidates, eligible, tieBreak), ChoiceReason::LeastLoaded };
 }
 
--- a/modules/borageslip_traffic/placement/ServerChoice.h
+++ b/modules/borageslip_traffic/placement/ServerChoice.h
@@ -16,6 +16,9 @@
     bool isEjected = false;
     bool isCold = false;
     bool isInOwnDomain = false;
+    /** Whether the loads are too old to keep a request away from the server of its prompt prefix: the server's
+        coordinator decides. */
+    bool isLoadOutdated = false;
 };
 
 /** Requests in flight allowed above capFactor times the mean. The required bound on load skew allows three; the third
@@ -33,7 +36,7 @@
 /** Why a backend server was chosen. */
 enum class ChoiceReason {
     Affinity, ///< First in the rendezvous order of the prompt prefix.
-    Spill, ///< Later in the rendezvous order, because the servers before it are over their limits.
+    Spill, ///< Later in the rendezvous order, because the servers before it are over their limits or denied the request.
     LeastLoaded,
 };
 constexpr size_t choiceReasonCount = 3;
@@ -50,9 +53,10 @@
 
     With an affinity, the candidates are tried in rendezvous-hash order, so that all instances send requests with the
     same prompt prefix to the same server without shared state, and a popular prefix spreads over as many servers as its
-    load needs. Without one, or when all candidates exceed the affinity limits, the least loaded candidate is chosen;
-    one in the own failure domain is preferred at equal load. Ejected candidates are used only when no other one is
-    eligible.
+    load needs. A candidate whose loads are outdated is tried as if it were within the limits, because instances that
+    spill by different outdated loads would spread a prefix over many servers, each of which reads it again. Without an
+    affinity, or when all candidates exceed the affinity limits, the least loaded candidate is chosen; one in the own
+    failure domain is preferred at equal load. Ejected candidates are used only when no other one is eligible.
     @param affinity hash of the shared prompt prefix; 0 for none.
     @param tieBreak hash that spreads choices over otherwise equal candidates.
     @return nothing when no candidate is eligible: each is excluded, has no free slot or is over the cap. */
--- a/modules/borageslip_traffic/servers/BackendServer.cpp
+++ b/modules/borageslip_traffic/servers/BackendServer.cpp
@@ -44,6 +44,13 @@
     m_pool.closeAll();
 }
 
+bool BackendServer::recordPrefix(uint64_t affinity)
+{
+    if (!m_recentPrefixes)
+        m_recentPrefixes = std::make_unique<RecentPrefixes>();
+    return m_recentPrefixes->record(affinity);
+}
+
 void BackendServer::recordSuccess()
 {
     m_consecutiveFailures = 0;
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -54,13 +54,27 @@
     /** Requests of all instances at it, from the latest known reports. */
     int inFlight() const { return m_ownInFlight + m_peersInFlight; }
 
-    /** Sets the total usage by the other instances. @param pendingPrefill prompt tokens. */
-    void setPeerUsage(int inFlight, int64_t pendingPrefill)
+    /** Sets the total usage by the other instances as they have reported it. Ignored shortly after the server's
+        coordinator has stated it, which knows more recent usage. @param pendingPrefill prompt tokens. */
+    void setReportedUsage(int inFlight, int64_t pendingPrefill)
     {
+        if (!isLoadOutdated())
+            return;
         m_peersInFlight = inFlight;
         m_peersPendingPrefill = pendingPrefill;
     }
 
+    /** Sets the total usage by the other instances as the server's coordinator has stated it. */
+    void setStatedUsage(int inFlight, int64_t pendingPrefill)
+    {
+        m_peersInFlight = inFlight;
+        m_peersPendingPrefill = pendingPrefill;
+        m_usageStatedAt = m_clock.now();
+    }
+
+    /** Whether the coordinator has not stated the usage by the other instances recently. */
+    bool isLoadOutdated() const { return m_clock.now() - m_usageStatedAt >= statedUsageLifetime; }
+
     void beginRequest() { ++m_ownInFlight; }
     void endRequest() { --m_ownInFlight; }
 
@@ -70,13 +84,10 @@
     int64_t ownPendingPrefill() const { return m_ownPendingPrefill; }
     void addPendingPrefill(int64_t tokens) { m_ownPendingPrefill += tokens; }
 
-    /** Whether a prompt with this prefix was recently sent to it. @param affinity hash of the prefix. */
-    bool isPrefixKnown(uint64_t affinity) const { return m_recentPrefixes.contains(affinity); }
-
-    /** Records that a prompt with this prefix is sent to it.
+    /** Records that a prompt with this prefix is sent to it. Its coordinator records those of all instances.
         @param affinity hash of the prefix.
         @return whether the prefix was recently sent before, in which case the server has probably cached it. */
-    bool recordPrefix(uint64_t affinity) { return m_recentPrefixes.record(affinity); }
+    bool recordPrefix(uint64_t affinity);
 
     /** Totals of this instance's requests that it answered or failed, since this instance knows it. */
     struct Outcomes {
@@ -98,6 +109,8 @@
     void recordUnreachable();
 
 private:
+    static constexpr Duration statedUsageLifetime = std::chrono::milliseconds(100); ///< A small part of the duration of a stream.
+
     void setCold(std::chrono::milliseconds left);
 
     ServerDescription m_description;
@@ -109,7 +122,8 @@
     int m_peersInFlight = 0;
     int64_t m_ownPendingPrefill = 0;
     int64_t m_peersPendingPrefill = 0;
-    RecentPrefixes m_recentPrefixes;
+    TimePoint m_usageStatedAt {};
+    std::unique_ptr<RecentPrefixes> m_recentPrefixes; ///< Null until the first prefix is recorded: few instances record prefixes of a server.
     Outcomes m_outcomes;
     int m_consecutiveFailures = 0;
     TimePoint m_coldUntil {};
--- a/tests/borageslip_traffic/FleetPlacementTests.cpp
+++ b/tests/borageslip_traffic/FleetPlacementTests.cpp
@@ -15,14 +15,20 @@
 constexpr double capFactor = 2;
 constexpr double allowedOverMean = 3;
 constexpr double allowedShare = 0.03;
+constexpr double allowedReadAgain = 0.15; ///< Of the requests, on a day of high load.
+constexpr size_t maxDenials = 4; ///< After which a request waits at its instance.
+constexpr auto longestWait = 600ms; ///< Half of a latency objective.
 
 /** Size and load of a simulated fleet. */
 struct FleetLoad {
     size_t instances = 77;
     size_t servers = 140;
     double requestsPerSecond = 700;
+    size_t prefixes = 400; ///< Prompt prefixes besides the popular one.
     double popularShare = 0.14; ///< Share of the requests that have the same prompt prefix.
     double lostMessages = 0; ///< Share of the messages between instances that are lost.
+    int slots = 24; ///< Of each server.
+    std::chrono::milliseconds prefixWait { 0 }; ///< How long a request waits for the server of its prefix.
     unsigned seed = 1;
 };
 
@@ -34,6 +40,7 @@
         : m_load(load)
         , m_random(load.seed)
         , m_held(load.servers)
+        , m_cached(load.servers)
     {
         for (size_t i = 0; i < load.servers; ++i)
             m_positions[m_hashes.emplace_back(hashBytes("server" + std::to_string(i)))] = i;
@@ -51,30 +58,52 @@
     /** Runs the simulation and returns the share of requests, sent after the first second, that reached a server over
         the load cap. */
     double shareOverCap(Duration length)
+    {
+        run(length);
+        REQUIRE(m_counted > 1000);
+        return static_cast<double>(m_overCap) / m_counted;
+    }
+
+    /** Runs the simulation and returns the share of requests whose prefix was not in the cache of the server that got
+        them, although the prefix had been sent to some server within the last ten seconds. */
+    double shareReadAgain(Duration length)
+    {
+        run(length);
+        REQUIRE(m_sends > 1000);
+        return static_cast<double>(m_readsAgain) / m_sends;
+    }
+
+private:
+    void run(Duration length)
     {
         while (!m_events.empty() && m_events.begin()->first < m_start + length) {
             auto event = m_events.extract(m_events.begin());
             m_clock.set(event.key());
             event.mapped()();
         }
-        REQUIRE(m_counted > 1000);
-        return static_cast<double>(m_overCap) / m_counted;
     }
 
-private:
     struct Instance {
         explicit Instance(size_t servers)
             : own(servers)
             , ofOthers(servers)
+            , statedAt(servers)
         {
         }
 
         PeerReportTable reports { 10s };
         std::vector<int> own;
         std::vector<int> ofOthers;
+        std::vector<TimePoint> statedAt; ///< When the coordinator of each server last stated its load.
+        ReservationWaitList waitList;
         uint64_t sequence = 0;
 
-        void updateOthers(size_t position, uint64_t server, TimePoint now) { ofOthers[position] = static_cast<int>(reports.totalUsage(server, now).inFlight); }
+        bool isLoadOutdated(size_t position, TimePoint now) const { return now - statedAt[position] >= 100ms; }
+        void updateOthers(size_t position, uint64_t server, TimePoint now)
+        {
+            if (isLoadOutdated(position, now))
+                ofOthers[position] = static_cast<int>(reports.totalUsage(server, now).inFlight);
+        }
         int held(size_t position) const { return own[position] + ofOthers[position]; }
         double mean() const
         {
@@ -124,46 +153,55 @@
     void scheduleArrival(TimePoint time)
     {
         at(time, [this] {
-            const uint64_t prefix = uniform() < m_load.popularShare ? 1 : 2 + m_random() % 400;
-            place(m_random() % m_load.instances, prefix, {});
+            const uint64_t prefix = uniform() < m_load.popularShare ? 1 : 2 + m_random() % m_load.prefixes;
+            place({ m_random() % m_load.instances, prefix, m_clock.now() });
             scheduleArrival(m_clock.now() + seconds(std::exponential_distribution<double>(m_load.requestsPerSecond)(m_random)));
         });
     }
 
+    /** A request that an instance places. */
+    struct Placement {
+        size_t by = 0;
+        uint64_t prefix = 0;
+        TimePoint arrivedAt {};
+        std::vector<size_t> denied {}; ///< Servers whose coordinators have denied it.
+    };
+
     /** Places one request: chooses a server, requests a reservation from its coordinator and chooses another server
         when the reservation is denied. */
-    void place(size_t by, uint64_t prefix, std::vector<size_t> denied)
+    void place(const Placement& placement)
     {
+        const auto by = placement.by;
         auto& instance = *m_instances[by];
         std::vector<ServerCandidate> candidates;
         for (size_t i = 0; i < m_load.servers; ++i) {
-            const bool isDenied = std::find(denied.begin(), denied.end(), i) != denied.end();
-            candidates.push_back({ m_hashes[i], instance.held(i), 24, 0, isDenied });
+            const bool isDenied = std::find(placement.denied.begin(), placement.denied.end(), i) != placement.denied.end();
+            ServerCandidate candidate { m_hashes[i], instance.held(i), m_load.slots, 0, isDenied };
+            candidate.isLoadOutdated = instance.isLoadOutdated(i, m_clock.now());
+            candidates.push_back(candidate);
         }
-        const auto choice = chooseServer(candidates, hashPair(7, prefix), m_random());
-        if (!choice)
-            return;
+        const auto choice = chooseServer(candidates, hashPair(7, placement.prefix), m_random());
+        if (!choice || placement.denied.size() >= maxDenials)
+            return placeLater(placement);
         const auto server = choice->index;
         ++instance.own[server];
         const auto coordinator = m_coordinators[server];
-        if (coordinator == by)
-            return send(by, server);
         auto message = usageMessage(by, server);
         message.isRequest = true;
-        const bool isLost = uniform() < m_load.lostMessages;
+        message.limits.slots = static_cast<uint32_t>(m_load.slots);
+        message.waitWithin = choice->reason == ChoiceReason::Affinity ? m_load.prefixWait : 0ms;
+        m_pending[{ by, message.sequence }] = { placement, server };
+        const bool isLost = coordinator != by && uniform() < m_load.lostMessages;
         if (isLost)
-            return at(m_clock.now() + 40ms, [this, by, server] { send(by, server); });
-        at(m_clock.now() + messageTime(), [=, this] {
-            const bool isGranted = decide(coordinator, server, message);
-            at(m_clock.now() + messageTime(), [=, this] {
-                if (isGranted)
-                    return send(by, server);
-                --m_instances[by]->own[server];
-                auto all = denied;
-                all.push_back(server);
-                place(by, prefix, std::move(all));
-            });
-        });
+            return at(m_clock.now() + 40ms, [this, by, sequence = message.sequence] { finish(by, sequence, true); });
+        at(m_clock.now() + (coordinator == by ? 0ms : messageTime()), [=, this] { decide(coordinator, server, message); });
+    }
+
+    /** Tries a request again that found no server, unless it has waited for too long. */
+    void placeLater(const Placement& placement)
+    {
+        if (m_clock.now() - placement.arrivedAt < longestWait)
+            at(m_clock.now() + 20ms, [this, placement] { place({ placement.by, placement.prefix, placement.arrivedAt }); });
     }
 
     ReservationMessage usageMessage(size_t by, size_t server)
@@ -172,34 +210,106 @@
         return { m_names[by], 1, ++instance.sequence, { m_hashes[server], static_cast<uint32_t>(instance.own[server]), 0 } };
     }
 
-    bool decide(size_t coordinator, size_t server, const ReservationMessage& message)
+    /** Requests at the server as its coordinator knows them, without the ones that wait. */
+    int granted(size_t coordinator, size_t server)
+    {
+        auto& instance = *m_instances[coordinator];
+        const auto others = instance.reports.totalUsage(m_hashes[server], m_clock.now()).inFlight;
+        return instance.own[server] + static_cast<int>(others) - static_cast<int>(instance.waitList.usage(m_hashes[server]).inFlight);
+    }
+
+    bool canGrant(size_t coordinator, size_t server, int requests)
+    {
+        const ReservationContext context { { m_hashes[server], static_cast<uint32_t>(std::max(0, requests)), 0 }, m_instances[coordinator]->mean() };
+        return canGrantReservation(context, { static_cast<uint32_t>(m_load.slots), 0 }, capFactor);
+    }
+
+    void decide(size_t coordinator, size_t server, const ReservationMessage& message)
     {
         auto& instance = *m_instances[coordinator];
-        auto withoutReservation = message;
-        --withoutReservation.usage.inFlight;
-        instance.reports.applyUsage(withoutReservation, m_clock.now());
+        const bool isOwn = message.sender == m_names[coordinator];
+        if (!isOwn)
+            instance.reports.applyUsage(message, m_clock.now());
         instance.updateOthers(server, m_hashes[server], m_clock.now());
-        const ReservationContext context { { m_hashes[server], static_cast<uint32_t>(instance.held(server)), 0 }, instance.mean() };
-        const bool isGranted = canGrantReservation(context, { 24, 0 }, capFactor);
-        if (isGranted)
-            instance.reports.setUsage(message.sender, message.usage);
+        const int others = granted(coordinator, server) - 1;
+        const bool isBehind = instance.waitList.hasBefore(m_hashes[server], message.priority);
+        if (!isBehind && canGrant(coordinator, server, others))
+            return reply(coordinator, server, message, true);
+        const bool lacksSlot = isBehind || others >= m_load.slots;
+        if (!lacksSlot || !instance.waitList.hasRoom(message))
+            return reply(coordinator, server, message, false);
+        instance.waitList.add({ message, {}, m_clock.now() + message.waitWithin });
+        at(m_clock.now() + message.waitWithin, [this, coordinator] {
+            for (const auto& expired : m_instances[coordinator]->waitList.takeExpired(m_clock.now()))
+                reply(coordinator, m_positions.at(expired.message.usage.server), expired.message, false);
+        });
+    }
+
+    void reply(size_t coordinator, size_t server, const ReservationMessage& message, bool isGranted)
+    {
+        auto& instance = *m_instances[coordinator];
+        const bool isOwn = message.sender == m_names[coordinator];
+        if (!isOwn && !isGranted) {
+            auto usage = instance.reports.usageBy(message.sender, m_hashes[server]);
+            usage.inFlight -= std::min(usage.inFlight, 1u);
+            instance.reports.setUsage(message.sender, usage);
+        }
         instance.updateOthers(server, m_hashes[server], m_clock.now());
-        return isGranted;
+        const auto by = static_cast<size_t>(std::find(m_names.begin(), m_names.end(), message.sender) - m_names.begin());
+        at(m_clock.now() + (isOwn ? 0ms : messageTime()), [=, this, total = granted(coordinator, server)] {
+            auto& asker = *m_instances[by];
+            if (!isOwn) {
+                asker.ofOthers[server] = std::max(0, total - asker.own[server] + (isGranted ? 0 : 1));
+                asker.statedAt[server] = m_clock.now();
+            }
+            finish(by, message.sequence, isGranted);
+        });
+    }
+
+    void finish(size_t by, uint64_t sequence, bool isGranted)
+    {
+        auto pending = m_pending.extract(std::pair(by, sequence)).mapped();
+        if (isGranted)
+            return send(by, pending.server, pending.placement.prefix);
+        --m_instances[by]->own[pending.server];
+        pending.placement.denied.push_back(pending.server);
+        place(pending.placement);
+    }
+
+    void grantWaiting(size_t coordinator, size_t server)
+    {
+        auto& list = m_instances[coordinator]->waitList;
+        while (list.first(m_hashes[server]) != nullptr && canGrant(coordinator, server, granted(coordinator, server)))
+            reply(coordinator, server, list.takeFirst(m_hashes[server]).message, true);
     }
 
     void notifyCoordinator(size_t by, size_t server)
     {
         const auto coordinator = m_coordinators[server];
-        if (coordinator == by || uniform() < m_load.lostMessages)
+        if (coordinator == by)
+            return grantWaiting(coordinator, server);
+        if (uniform() < m_load.lostMessages)
             return;
         at(m_clock.now() + messageTime(), [=, this, message = usageMessage(by, server)] {
             m_instances[coordinator]->reports.applyUsage(message, m_clock.now());
             m_instances[coordinator]->updateOthers(server, m_hashes[server], m_clock.now());
+            grantWaiting(coordinator, server);
         });
     }
 
-    void send(size_t by, size_t server)
+    void countRead(size_t server, uint64_t prefix)
     {
+        constexpr auto reuseWindow = 10s;
+        const auto last = m_prefixSentAt.find(prefix);
+        const bool isKnown = last != m_prefixSentAt.end() && m_clock.now() - last->second < reuseWindow;
+        m_prefixSentAt[prefix] = m_clock.now();
+        ++m_sends;
+        m_readsAgain += m_cached[server].record(prefix) || !isKnown ? 0 : 1;
+    }
+
+    void send(size_t by, size_t server, uint64_t prefix)
+    {
+        countRead(server, prefix);
         if (m_clock.now() > m_start + 1s) {
             const double mean = static_cast<double>(m_total) / static_cast<double>(m_load.servers);
             ++m_counted;
@@ -227,6 +337,16 @@
     std::vector<size_t> m_coordinators; ///< Position of each server's coordinator among the instances.
     std::vector<int> m_held; ///< Actual requests in flight at each server.
     int m_total = 0;
+    /** A request that waits for the coordinator's reply. */
+    struct Pending {
+        Placement placement;
+        size_t server = 0;
+    };
+    std::map<std::pair<size_t, uint64_t>, Pending> m_pending; ///< By instance and sequence of the request.
+    std::vector<RecentPrefixes> m_cached; ///< By server.
+    std::map<uint64_t, TimePoint> m_prefixSentAt;
+    int m_sends = 0;
+    int m_readsAgain = 0;
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::multimap<TimePoint, std::function<void()>> m_events;
     int m_counted = 0;
@@ -264,3 +384,22 @@
     load.requestsPerSecond = 2000;
     CHECK(SimulatedFleet(load).shareOverCap(4s) <= allowedShare);
 }
+
+// Guards against prefixes that spread over many servers while most slots are taken: each server reads them again, and its
+// slots are then taken for the requests of its own prefixes.
+TEST_CASE("near the capacity of the servers, requests that wait for the server of their prefix have it read again rarely", "[fleet]")
+{
+    FleetLoad load;
+    load.instances = 89;
+    load.servers = 140;
+    load.slots = 12;
+    load.popularShare = 0;
+    load.prefixes = 420;
+    load.requestsPerSecond = 2170; // Takes 92 of 100 slots.
+    const double withoutWait = SimulatedFleet(load).shareReadAgain(4s);
+    load.prefixWait = 400ms;
+    const double withWait = SimulatedFleet(load).shareReadAgain(4s);
+    WARN("prefixes read again: " << withoutWait << " of the requests without the wait, " << withWait << " with it");
+    CHECK(withWait <= allowedReadAgain);
+    CHECK(withWait < withoutWait);
+}
--- a/tests/borageslip_traffic/PolicyTests.cpp
+++ b/tests/borageslip_traffic/PolicyTests.cpp
@@ -46,6 +46,22 @@
     CHECK(*second != preferred);
 }
 
+// Guards against instances that keep requests away from the server of their prefix by different outdated loads, and so
+// spread the prefix over many servers, each of which reads it.
+TEST_CASE("outdated loads do not keep a request away from the server of its prefix")
+{
+    auto candidates = candidatesOf({ 1, 1, 1, 1 });
+    const auto preferred = *indexOfChoice(candidates, 77, 1);
+    candidates[preferred].inFlight = 96;
+    candidates[preferred].isLoadOutdated = true;
+    CHECK(indexOfChoice(candidates, 77, 1) == preferred);
+    candidates[preferred].isExcluded = true;
+    CHECK(indexOfChoice(candidates, 77, 1) != preferred);
+    candidates[preferred].isExcluded = false;
+    candidates[preferred].isEjected = true;
+    CHECK(indexOfChoice(candidates, 77, 1) != preferred);
+}
+
 TEST_CASE("a server with a long prefill backlog gets no further prompts while another one has a shorter backlog")
 {
     auto candidates = candidatesOf({ 1, 1, 1, 1 });
--- a/tests/borageslip_traffic/ReservationCoordinatorTests.cpp
+++ b/tests/borageslip_traffic/ReservationCoordinatorTests.cpp
@@ -76,8 +76,8 @@
 // Guards against malformed datagrams that are accepted as messages or crash the process.
 TEST_CASE("reservation messages survive encoding and decoding, and malformed ones are rejected")
 {
-    const ReservationMessage request { "entry-1", 12, 34, { 0xfeedfacecafebeefU, 7, 9000 }, true, { 24, 24000 } };
-    const ReservationReply answer { 34, true, { 0xfeedfacecafebeefU, 8, 9000 } };
+    const ReservationMessage request { "entry-1", 12, 34, { 0xfeedfacecafebeefU, 7, 9000 }, true, { 24, 24000 }, { 0xcafe, 8000 }, 9000, { 1, 2 }, 150ms };
+    const ReservationReply answer { 34, true, false, { 0xfeedfacecafebeefU, 8, 9000 }, true };
     auto bytes = encodeReservationMessage(request);
     CHECK(std::get<ReservationMessage>(value(decodePeerMessage(bytes))) == request);
     const auto answerBytes = encodeReservationReply(answer);
