Bound waits for a server and count them among the queued requests

Found on reading the change: a request at an instance that coordinates the server itself counted the cached tokens twice in that server's stated load, for 100 ms; a message could ask for a wait of an hour. borageslip_entry_queued_requests now includes the requests that wait for a server. New test: the coordinator freezes while a request waits.

--- a/modules/borageslip_traffic/limits/ReservationWaitList.cpp
+++ b/modules/borageslip_traffic/limits/ReservationWaitList.cpp
@@ -66,14 +66,6 @@
     return expired;
 }
 
-std::vector<WaitingReservation> ReservationWaitList::takeAll(uint64_t server)
-{
-    std::vector<WaitingReservation> taken;
-    while (first(server) != nullptr)
-        taken.push_back(takeFirst(server));
-    return taken;
-}
-
 ServerUsage ReservationWaitList::usage(uint64_t server) const
 {
     ServerUsage total { server, 0, 0 };
--- a/modules/borageslip_traffic/limits/ReservationWaitList.h
+++ b/modules/borageslip_traffic/limits/ReservationWaitList.h
@@ -44,7 +44,6 @@
 
     /** Removes the requests that have waited for as long as they may. */
     std::vector<WaitingReservation> takeExpired(TimePoint now);
-    std::vector<WaitingReservation> takeAll(uint64_t server);
 
     /** Usage of the server that the senders have counted for requests that still wait. */
     ServerUsage usage(uint64_t server) const;
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -32,6 +32,7 @@
     constexpr Duration replyTimeout = milliseconds(40); ///< A small fraction of the shortest latency objective.
     constexpr int timeoutsBeforeExclusion = 2; ///< A single timeout may be a lost datagram.
     constexpr Duration exclusionTime = std::chrono::seconds(2);
+    constexpr Duration maxReservationWait = std::chrono::seconds(5); ///< For which a request of another instance may wait here.
 
 }
 
@@ -289,7 +290,7 @@
     const bool lacksSlot = isBehind || (message.limits.slots != 0 && usage.inFlight >= message.limits.slots);
     if (!lacksSlot || !server.isInService() || !m_waitList.hasRoom(message))
         return denyReservation(server, message, sender);
-    m_waitList.add({ message, sender, m_engine.clock().now() + message.waitWithin });
+    m_waitList.add({ message, sender, m_engine.clock().now() + std::min<Duration>(message.waitWithin, maxReservationWait) });
     replyTo(message, sender, { message.sequence, false, true, usage });
     m_pollEvent.notify();
 }
@@ -429,6 +430,9 @@
         co_await signal.waitFor(demand.waitWithin + replyTimeout);
     }
     const auto reply = m_pendingRequests.extract(message.sequence).mapped().reply;
+    // The loads of a server that this instance coordinates are exact already.
+    if (reply && !isOwn)
+        applyStatedUsage(server, demand, *reply);
     co_return resultOf(server, demand, reply);
 }
 
@@ -448,14 +452,17 @@
             if (const auto listed = m_engine.servers().find(hash))
                 notifyUsageChanged(*listed);
         });
-    // The reply is more recent than the reports.
-    const int ownCounted = server.ownInFlight() - (reply->isGranted ? 0 : 1);
-    const auto cachedTokens = static_cast<int64_t>(reply->isPrefixCached ? demand.prefix.tokens : 0);
-    const int64_t ownTokens = server.ownPendingPrefill() - (reply->isGranted ? cachedTokens : demand.promptTokens);
-    server.setStatedUsage(std::max(0, static_cast<int>(reply->usage.inFlight) - ownCounted), std::max<int64_t>(0, static_cast<int64_t>(reply->usage.pendingPrefill) - ownTokens));
     return { outcome, reply->isPrefixCached };
 }
 
+void PeerLink::applyStatedUsage(BackendServer& server, const ReservationDemand& demand, const ReservationReply& reply)
+{
+    const int ownCounted = server.ownInFlight() - (reply.isGranted ? 0 : 1);
+    const auto cachedTokens = static_cast<int64_t>(reply.isPrefixCached ? demand.prefix.tokens : 0);
+    const int64_t ownTokens = server.ownPendingPrefill() - (reply.isGranted ? cachedTokens : demand.promptTokens);
+    server.setStatedUsage(std::max(0, static_cast<int>(reply.usage.inFlight) - ownCounted), std::max<int64_t>(0, static_cast<int64_t>(reply.usage.pendingPrefill) - ownTokens));
+}
+
 void PeerLink::notifyUsageChanged(BackendServer& server)
 {
     auto* found = coordinator(server.hash());
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -68,8 +68,8 @@
     Duration oldestReportAge() const { return m_reportTable.maxReportAge(m_engine.clock().now()); }
     size_t memberCount() const { return m_members.size(); }
 
-    /** Requests of all instances that wait for a slot of the services that this instance coordinates. */
-    size_t queuedRequestCount() const { return m_coordination.waitingCount(); }
+    /** Requests of all instances that wait for a slot of the services and servers that this instance coordinates. */
+    size_t queuedRequestCount() const { return m_coordination.waitingCount() + m_waitList.size(); }
 
     /** Requests of this instance that wait for a slot from a coordinator. */
     size_t ownQueuedRequestCount() const { return m_coordination.ownWaitingCount(); }
@@ -134,12 +134,15 @@
     void denyReservation(const BackendServer&, const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
     void replyTo(const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender, const ReservationReply&);
 
-    /** Subtracts from the sender's usage of the server what it counted for the request in vain. */
+    /** Subtracts a part from what the sender of the request has counted at the server. */
     void reduceUsage(const ReservationMessage&, const ServerUsage& part);
 
     /** Grants free slots of the server to the requests that wait for it. */
     void grantWaiting(BackendServer&);
     void denyExpired();
+
+    /** Sets the usage of the server by the other instances as its coordinator has stated it. */
+    static void applyStatedUsage(BackendServer&, const ReservationDemand&, const ReservationReply&);
     ReservationResult resultOf(BackendServer&, const ReservationDemand&, const std::optional<ReservationReply>&);
 
     /** Excludes a member as a coordinator after repeated timeouts. */
--- a/tests/borageslip_traffic/PeerLinkTests.cpp
+++ b/tests/borageslip_traffic/PeerLinkTests.cpp
@@ -28,7 +28,7 @@
 /** An instance with a peer link on loopback that knows one backend server with one slot. */
 class Instance {
 public:
-    Instance(asio::io_context& context, std::string name)
+    explicit Instance(std::string name)
         : engine(m_clock, context.get_executor(), m_protocol, {})
         , link(engine, name)
     {
@@ -83,6 +83,8 @@
     NoProtocol m_protocol;
 
 public:
+    asio::io_context context; ///< Of its own, so that a test can freeze the instance.
+    bool isFrozen = false;
     TrafficEngine engine;
     PeerLink link;
     Member member;
@@ -105,14 +107,17 @@
     bool runUntil(const std::function<bool()>& isDone)
     {
         const auto until = std::chrono::steady_clock::now() + longest;
-        while (!isDone() && std::chrono::steady_clock::now() < until)
-            context.run_one_for(10ms);
+        while (!isDone() && std::chrono::steady_clock::now() < until) {
+            for (auto* instance : { &first, &second }) {
+                if (!instance->isFrozen)
+                    instance->context.run_one_for(1ms);
+            }
+        }
         return isDone();
     }
 
-    asio::io_context context;
-    Instance first { context, "entry-1" };
-    Instance second { context, "entry-2" };
+    Instance first { "entry-1" };
+    Instance second { "entry-2" };
     Instance* coordinator = nullptr;
     Instance* other = nullptr;
 };
@@ -165,6 +170,27 @@
     CHECK(isGranted(next));
 }
 
+// Guards against a request that waits without end for a coordinator that no longer runs, and against a slot that stays counted
+// at a coordinator that runs again.
+TEST_CASE("a request whose coordinator freezes while it waits is denied after the wait, and the slot is free afterwards")
+{
+    Pair pair;
+    Instance::Request held;
+    pair.coordinator->request(held, 0ms);
+    Instance::Request waiting;
+    pair.other->request(waiting, 100ms);
+    REQUIRE(pair.runUntil([&] { return pair.other->engine.counts().reservationWaits == 1; }));
+    pair.coordinator->isFrozen = true;
+    REQUIRE(pair.runUntil([&] { return waiting.result.has_value(); }));
+    CHECK(waiting.result->outcome == ReservationOutcome::Denied);
+    pair.coordinator->isFrozen = false;
+    pair.coordinator->end(held);
+    Instance::Request next;
+    pair.other->request(next, 2s);
+    REQUIRE(pair.runUntil([&] { return next.result.has_value(); }));
+    CHECK(isGranted(next));
+}
+
 // Guards against a prompt that is counted as waiting for prefill although its server has it in its cache, because another
 // instance sent it there: the server then seems to have a long backlog.
 TEST_CASE("the coordinator knows the prefixes that all instances have sent to a server")
