--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -163,7 +163,8 @@
         m_choiceReason = reason;
         auto reservation = std::make_shared<detail::ServerReservation>(m_engine, server, promptTokens());
         const bool waits = prefixWaits == PrefixWait::Allowed && reason == ChoiceReason::Affinity;
-        const auto result = co_await requestReservation(*server, waits ? prefixWait() : milliseconds(0));
+        const auto waitWithin = waits ? prefixWait() : milliseconds(0);
+        const auto result = co_await requestReservation(*server, waitWithin);
         // If the granting instance does not respond, proceed anyway: according to the local load data the server has
         // capacity.
         if (result.outcome != ReservationOutcome::Denied) {
@@ -185,7 +186,8 @@
         co_return co_await awaitSlot();
     const bool isRetry = !m_triedServers.empty();
     if (isRetry || m_engine.waitQueue(m_admitted.service).isEmpty()) {
-        auto reservation = co_await acquireReservation(isRetry ? PrefixWait::None : PrefixWait::Allowed);
+        const auto prefixWaits = isRetry ? PrefixWait::None : PrefixWait::Allowed;
+        auto reservation = co_await acquireReservation(prefixWaits);
         if (reservation)
             co_return reservation;
     }
