--- a/tests/borageslip_traffic/FleetPlacementTests.cpp
+++ b/tests/borageslip_traffic/FleetPlacementTests.cpp
@@ -353,6 +353,19 @@
     int m_overCap = 0;
 };
 
+/** Requests with equally popular prefixes that take 92 of 100 slots. */
+FleetLoad loadNearCapacity(size_t instances, size_t servers)
+{
+    FleetLoad load;
+    load.instances = instances;
+    load.servers = servers;
+    load.slots = 12;
+    load.popularShare = 0;
+    load.prefixes = 3 * servers;
+    load.requestsPerSecond = 15.5 * static_cast<double>(servers);
+    return load;
+}
+
 }
 
 // Guards against overload of a server that many instances choose before they receive each other's load reports.
@@ -389,13 +402,7 @@
 // slots are then taken for the requests of its own prefixes.
 TEST_CASE("near the capacity of the servers, requests that wait for the server of their prefix have it read again rarely", "[fleet]")
 {
-    FleetLoad load;
-    load.instances = 89;
-    load.servers = 140;
-    load.slots = 12;
-    load.popularShare = 0;
-    load.prefixes = 420;
-    load.requestsPerSecond = 2170; // Takes 92 of 100 slots.
+    auto load = loadNearCapacity(89, 140);
     const double withoutWait = SimulatedFleet(load).shareReadAgain(4s);
     load.prefixWait = 400ms;
     const double withWait = SimulatedFleet(load).shareReadAgain(4s);
@@ -403,3 +410,15 @@
     CHECK(withWait <= allowedReadAgain);
     CHECK(withWait < withoutWait);
 }
+
+// Guards against the same at other sizes of the fleet, and with more prefixes for each server.
+TEST_CASE("near the capacity of the servers, prefixes are read again rarely at 9 and at 295 instances", "[fleet]")
+{
+    auto small = loadNearCapacity(9, 45);
+    small.prefixes = 400;
+    small.requestsPerSecond = 700;
+    auto large = loadNearCapacity(295, 320);
+    small.prefixWait = large.prefixWait = 400ms;
+    CHECK(SimulatedFleet(small).shareReadAgain(10s) <= allowedReadAgain);
+    CHECK(SimulatedFleet(large).shareReadAgain(4s) <= allowedReadAgain);
+}
