Break off streams that end within an event

Callers saw: a stream without length or chunks whose connection ended within an event came with a proper end and looked complete, and a stream that may be resumed was not. Cause: the end of the connection is the end of such a body, and the rest of an event was passed on as the last bytes. An event that is cut off now counts as a broken connection, and the events of all streams are passed on whole; an event of over 256 KB ends the stream, so that a server can't fill the memory.

entry_test: two of the three new checks fail on ("200 ... complete=True" for a stream cut off in its third event), all pass now.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -29,6 +29,7 @@
     constexpr int maxUnreachableServers = 3; ///< Connection failures to backend servers after which a request fails.
     constexpr int maxMismatchedResponses = 2; ///< Responses to other requests that are discarded on one connection.
     constexpr size_t maxBufferedResponseBytes = 256 * 1024; ///< A longer response is forwarded while it is still arriving.
+    constexpr size_t maxPartialEventBytes = 256 * 1024; ///< Of a stream event that is still arriving.
     constexpr size_t maxInlineRequestBytes = 4 * 1024; ///< A longer request is written concurrently with reading the response.
 
 }
@@ -372,6 +373,7 @@
 {
     state.attempt.fire(AttemptEvent::Send);
     state.sentAt = m_engine.clock().now();
+    state.earlierEvents = m_events.eventCount();
     m_engine.servers().recordSend(*state.server);
     auto head = forwardedHead(*state.server);
     // A backend server may respond before it has read the whole body of a long request.
@@ -544,11 +546,15 @@
         removeHopByHopFields(head);
         co_await m_sink.begin(head, std::nullopt);
     }
-    const bool isResumable = route().isResumable;
+    const auto bodyType = streamBodyType(reader.head());
     while (true) {
         auto bytes = reader.takeBody();
-        if (isResumable)
+        if (bodyType != StreamBodyType::Other)
             bytes = m_events.feed(bytes);
+        if (m_events.partialEventBytes() > maxPartialEventBytes) {
+            m_events.dropPartialEvent();
+            co_return handleLostResponse(state, "the stream has an event that is too long");
+        }
         bool isTaken = !m_sink.isCallerDisconnected();
         if (!bytes.empty())
             isTaken = co_await m_sink.write(bytes);
@@ -564,8 +570,15 @@
             co_return handleLostResponse(state, "connection lost within a stream");
         }
     }
-    if (m_events.hasPartialEvent())
+    if (m_events.partialEventBytes() > 0) {
+        // A body of an unknown type that has no event and ends as its framing says is complete.
+        const bool hasEvents = bodyType == StreamBodyType::Events || m_events.eventCount() > state.earlierEvents;
+        if (hasEvents || reader.framing() == BodyFraming::UntilClose) {
+            m_events.dropPartialEvent();
+            co_return handleLostResponse(state, "the stream ended within an event");
+        }
         co_await m_sink.write(m_events.takePartialEvent());
+    }
     co_await m_sink.end();
     state.attempt.fire(AttemptEvent::Finish);
     state.server->recordSuccess();
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -67,6 +67,7 @@
         ServerConnectionPtr connection;
         Attempt attempt {};
         TimePoint sentAt {};
+        size_t earlierEvents = 0; ///< Events that the caller got from earlier attempts.
         std::shared_ptr<bool> isWritten = std::make_shared<bool>(false);
     };
 
--- a/modules/borageslip_traffic/engine/SseEventBuffer.cpp
+++ b/modules/borageslip_traffic/engine/SseEventBuffer.cpp
@@ -25,6 +25,7 @@
     for (auto end = endOfEvent(m_partial, 0); end != std::string_view::npos; end = endOfEvent(m_partial, complete)) {
         updateLastEventId(std::string_view(m_partial).substr(complete, end - complete));
         complete = end;
+        ++m_eventCount;
     }
     auto events = m_partial.substr(0, complete);
     m_partial.erase(0, complete);
--- a/modules/borageslip_traffic/engine/SseEventBuffer.h
+++ b/modules/borageslip_traffic/engine/SseEventBuffer.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace borageslip {
 
@@ -20,16 +21,20 @@
 
     /** Discards an incomplete event. */
     void dropPartialEvent() { m_partial.clear(); }
-    bool hasPartialEvent() const { return !m_partial.empty(); }
+
+    /** Number of complete events so far. */
+    size_t eventCount() const { return m_eventCount; }
+    size_t partialEventBytes() const { return m_partial.size(); }
 
     /** Returns the bytes after the last complete event and clears the buffer. */
-    std::string takePartialEvent() { return std::move(m_partial); }
+    std::string takePartialEvent() { return std::exchange(m_partial, {}); }
 
 private:
     void updateLastEventId(std::string_view event);
 
     std::string m_partial;
     std::optional<std::string> m_lastEventId;
+    size_t m_eventCount = 0;
 };
 
 }
--- a/modules/borageslip_traffic/http/HttpMessages.cpp
+++ b/modules/borageslip_traffic/http/HttpMessages.cpp
@@ -168,6 +168,15 @@
     }
 }
 
+StreamBodyType streamBodyType(const HttpResponseHead& head)
+{
+    constexpr boost::beast::string_view eventStream = "text/event-stream";
+    const auto type = head[boost::beast::http::field::content_type];
+    if (type.empty())
+        return StreamBodyType::Unstated;
+    return boost::beast::iequals(type.substr(0, eventStream.size()), eventStream) ? StreamBodyType::Events : StreamBodyType::Other;
+}
+
 std::optional<std::chrono::seconds> keepAliveTime(const HttpResponseHead& head)
 {
     constexpr std::string_view parameter = "timeout=";
--- a/modules/borageslip_traffic/http/HttpMessages.h
+++ b/modules/borageslip_traffic/http/HttpMessages.h
@@ -94,6 +94,14 @@
 /** Removes the hop-by-hop fields, including those listed in the Connection field. */
 void removeHopByHopFields(boost::beast::http::fields&);
 
+/** What the response to a request for a stream contains, by its Content-Type. */
+enum class StreamBodyType {
+    Events, ///< Server-sent events.
+    Unstated, ///< No type is stated; most probably events.
+    Other,
+};
+StreamBodyType streamBodyType(const HttpResponseHead&);
+
 /** Returns the timeout parameter of the Keep-Alive field, if present and valid. */
 std::optional<std::chrono::seconds> keepAliveTime(const HttpResponseHead&);
 
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -231,6 +231,14 @@
     fleet.set_behaviour("breaks-stream")
     answer = await fleet.entry.ask("/once/stream/a", "POST", body=b"x")
     check("a stream that may not be resumed runs once and ends incomplete", not answer.is_complete and fleet.runs() == 1, f"{answer} runs={fleet.runs()}")
+    fleet.set_behaviour("unframed-stream")
+    answer = await fleet.entry.ask("/once/stream/a", "POST", body=b"x")
+    check("a stream without framing that ends after an event is complete", answer.body == expected and answer.is_complete, answer)
+    fleet.set_behaviour("unframed-stream-breaks")
+    answer = await fleet.entry.ask("/once/stream/a", "POST", body=b"x")
+    check("a stream without framing that ends within an event does not look complete", not answer.is_complete and expected.startswith(answer.body), answer)
+    answer = await fleet.entry.ask("/stream/stream/a", "POST", body=b"x")
+    check("a stream without framing that ends within an event is resumed", answer.body == expected and answer.is_complete, answer)
 
 
 async def check_caller_disconnect(fleet):
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -234,6 +234,10 @@
             elif self.behaviour == "unframed":
                 writer.write("".join(["HTTP/1.1 200 OK\r\n"] + [f"{name}: {value}\r\n" for name, value in own_headers] + ["\r\nunframed"]).encode())
                 return
+            elif self.behaviour in ("unframed-stream", "unframed-stream-breaks"):
+                self._stream_unframed(headers, own_headers, writer)
+                await writer.drain()
+                return
             elif "/stream/" in line:
                 if not await self._stream(headers, own_headers, writer):
                     return
@@ -258,6 +262,14 @@
         except ConnectionError:
             self.was_disconnected = True
 
+    def _stream_unframed(self, headers, own_headers, writer):
+        """Writes a stream that has no framing and ends with its connection, within an event if it breaks."""
+        first = int(headers.get("last-event-id", "0")) + 1
+        events = "".join(f"id: {number}\ndata: piece {number}\n\n" for number in range(first, self.event_count + 1))
+        if self.behaviour == "unframed-stream-breaks" and first < 3:
+            events = events[: events.index("piece 3")]
+        writer.write(("".join(["HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"] + [f"{name}: {value}\r\n" for name, value in own_headers] + ["\r\n"]) + events).encode())
+
     async def _stream(self, headers, own_headers, writer):
         """Streams the events. Returns whether the connection can be kept open."""
         writer.write("".join(["HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"] + [f"{name}: {value}\r\n" for name, value in own_headers] + ["\r\n"]).encode())
