Quarantine prompt parts that crash servers

Cause: nothing related the end of a server to the requests on it. A request with the part was sent to a second server 4 ms after the first one had crashed, and its successors to others.

Change: a connection that is lost before the body begins is checked by connecting again; a refusal is a crash, a reset or a cut is not. The parts of the requests that were about to be answered become suspects at all instances; a response that proceeds clears its parts. A part that is present at crash after crash, 100 ms or more apart and on several servers, with no response in between, is quarantined with the parts that were always with it: after three crashes, after four if no other part was always with it. Parts that are cleared later leave the combination. Requests with all of its parts are rejected as not run, with a Retry-After of ten minutes; the quarantine ends ten minutes after the last of them. A request whose response had begun when its server crashed is not sent again. Instances that start later learn the quarantines from reports. No store is needed.

--- a/modules/borageslip_core/errors/ErrorKind.cpp
+++ b/modules/borageslip_core/errors/ErrorKind.cpp
@@ -31,6 +31,7 @@
         ErrorTraits { ErrorKind::EngineUnreachable, "engine-unreachable", 503, NotRun, true, "The engine cannot be reached" },
         ErrorTraits { ErrorKind::EngineRefused, "engine-refused", 503, NotRun, true, "The engine refused the request" },
         ErrorTraits { ErrorKind::EngineFailed, "engine-failed", 502, MayHaveRun, true, "The engine failed" },
+        ErrorTraits { ErrorKind::PromptQuarantined, "prompt-quarantined", 503, NotRun, false, "The prompt has parts on which engines crash" },
         ErrorTraits { ErrorKind::ServiceUnreachable, "service-unreachable", 503, NotRun, true, "The service cannot be reached" },
         ErrorTraits { ErrorKind::ServiceFailed, "service-failed", 502, MayHaveRun, true, "The service failed" },
         ErrorTraits { ErrorKind::ConnectionSilent, "connection-silent", 504, MayHaveRun, true, "The connection went silent" },
--- a/modules/borageslip_core/errors/ErrorKind.h
+++ b/modules/borageslip_core/errors/ErrorKind.h
@@ -31,6 +31,7 @@
     EngineUnreachable,
     EngineRefused,
     EngineFailed,
+    PromptQuarantined,
     ServiceUnreachable,
     ServiceFailed,
     ConnectionSilent,
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -103,7 +103,7 @@
 {
     m_engine.recordArrival(m_admitted);
     int unreachable = 0;
-    while (m_stopReason == StopReason::None && m_sendCount < route().maxAttempts && unreachable < maxUnreachableServers) {
+    while (m_stopReason == StopReason::None && m_sendCount < route().maxAttempts && unreachable < maxUnreachableServers && !isQuarantined()) {
         auto reservation = co_await awaitReservation();
         if (!isOk(reservation)) {
             m_lastError = error(reservation);
@@ -126,12 +126,55 @@
             continue;
         }
         ++m_sendCount;
-        if (result == AttemptResult::Lost && !route().mayRunAgain())
+        if (result == AttemptResult::Lost && (!route().mayRunAgain() || m_mayHaveCrashedServer))
             break;
     }
     co_await finish(m_lastError);
 }
 
+bool Exchange::isQuarantined()
+{
+    if (!m_engine.quarantine().isActive())
+        return false;
+    const auto timeLeft = m_engine.quarantine().quarantineOf(promptFingerprint(m_metadata));
+    if (!timeLeft)
+        return false;
+    ++m_engine.counts().quarantineRejections;
+    m_lastError = { ErrorKind::PromptQuarantined, "backend servers have crashed on parts of this prompt" };
+    m_lastError.retryAfter = toMilliseconds(*timeLeft);
+    return true;
+}
+
+asio::awaitable<void> Exchange::checkForCrash(const AttemptState& state)
+{
+    // A request that had events before is not a suspect: responses to its prompt do proceed.
+    if (!state.isConnectionLost || m_events.eventCount() > 0 || state.bodyBegunAt != TimePoint())
+        co_return;
+    auto suspect = promptFingerprint(m_metadata);
+    if (suspect.parts.empty())
+        co_return;
+    const bool hasCrashed = co_await m_engine.crashDetector().hasCrashed(state.server, std::move(suspect));
+    m_mayHaveCrashedServer = hasCrashed && state.isResponseBegun;
+}
+
+void Exchange::recordProgress(AttemptState& state)
+{
+    constexpr size_t eventsOfProgress = 2; // A crash may come right after the first event.
+    const auto events = m_events.eventCount() - state.earlierEvents;
+    if (events > 0 && state.bodyBegunAt == TimePoint())
+        state.bodyBegunAt = m_engine.clock().now();
+    if (events < eventsOfProgress || std::exchange(state.hasProgressed, true))
+        return;
+    if (m_engine.quarantine().hasSuspects())
+        m_engine.recordPromptProgress(promptFingerprint(m_metadata), state.bodyBegunAt);
+}
+
+void Exchange::recordCompletion(const AttemptState& state)
+{
+    if (!state.hasProgressed && state.bodyBegunAt != TimePoint() && m_engine.quarantine().hasSuspects())
+        m_engine.recordPromptProgress(promptFingerprint(m_metadata), state.bodyBegunAt);
+}
+
 int64_t Exchange::promptTokens() const
 {
     return m_metadata.promptParts.empty() ? 0 : m_metadata.promptTokens;
@@ -336,6 +379,9 @@
         m_lastError = { ErrorKind::EngineUnreachable, "the backend server was taken out of service while the connection was being opened" };
         co_return AttemptResult::NotSent;
     }
+    // The request may have waited since the last check.
+    if (isQuarantined())
+        co_return AttemptResult::NotSent;
     m_activeConnection = state.connection;
     const auto result = co_await send(state);
     m_activeConnection = nullptr;
@@ -343,6 +389,8 @@
         m_mayHaveRun |= state.attempt.mayHaveRun();
         co_return AttemptResult::Aborted;
     }
+    if (result == AttemptResult::Lost)
+        co_await checkForCrash(state);
     co_return result;
 }
 
@@ -402,7 +450,8 @@
         const bool hasHead = co_await source.readHead();
         state.reservation->onResponseBegun();
         if (!hasHead)
-            co_return handleLostResponse(state, "connection lost before a response was received");
+            co_return handleLostConnection(state, "connection lost before a response was received");
+        state.isResponseBegun = true;
         const auto metadata = m_engine.protocol().responseMetadata(reader.head().result_int(), reader.head());
         if (!isResponseToThisRequest(state, metadata)) {
             logEvent(Severity::Warning, "foreign-answer", { { "request", m_metadata.requestId }, { "server", state.server->description().id }, { "answer", metadata.requestId } });
@@ -486,6 +535,12 @@
     return AttemptResult::Lost;
 }
 
+Exchange::AttemptResult Exchange::handleLostConnection(AttemptState& state, std::string_view reason)
+{
+    state.isConnectionLost = true;
+    return handleLostResponse(state, reason);
+}
+
 void Exchange::releaseConnection(AttemptState& state, const ResponseReader& reader)
 {
     auto& connection = state.connection;
@@ -507,10 +562,14 @@
     while (!reader.isDone() && body.size() <= maxBufferedResponseBytes) {
         const bool isOpen = co_await source.readMore();
         if (!isOpen)
-            co_return handleLostResponse(state, "connection lost within the response body");
+            co_return handleLostConnection(state, "connection lost within the response body");
         body += reader.takeBody();
     }
     state.server->recordSuccess();
+    if (reader.head().result_int() / 100 == 2) {
+        state.bodyBegunAt = m_engine.clock().now();
+        recordCompletion(state);
+    }
     HttpResponseHead head = reader.head();
     removeHopByHopFields(head);
     const auto length = reader.isDone() ? std::optional<uint64_t>(reader.framing() == BodyFraming::Length ? reader.contentLength().value_or(body.size()) : body.size()) : reader.contentLength();
@@ -549,8 +608,10 @@
     const auto bodyType = streamBodyType(reader.head());
     while (true) {
         auto bytes = reader.takeBody();
-        if (bodyType != StreamBodyType::Other)
+        if (bodyType != StreamBodyType::Other) {
             bytes = m_events.feed(bytes);
+            recordProgress(state);
+        }
         if (m_events.partialEventBytes() > maxPartialEventBytes) {
             m_events.dropPartialEvent();
             co_return handleLostResponse(state, "the stream has an event that is too long");
@@ -567,7 +628,7 @@
         const bool isOpen = co_await source.readMore();
         if (!isOpen) {
             m_events.dropPartialEvent();
-            co_return handleLostResponse(state, "connection lost within a stream");
+            co_return handleLostConnection(state, "connection lost within a stream");
         }
     }
     if (m_events.partialEventBytes() > 0) {
@@ -582,6 +643,7 @@
     co_await m_sink.end();
     state.attempt.fire(AttemptEvent::Finish);
     state.server->recordSuccess();
+    recordCompletion(state);
     releaseConnection(state, reader);
     countOutcome(&TrafficCounts::answered);
     co_return AttemptResult::Delivered;
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -67,7 +67,11 @@
         ServerConnectionPtr connection;
         Attempt attempt {};
         TimePoint sentAt {};
+        TimePoint bodyBegunAt {}; ///< When the first event or body bytes arrived.
         size_t earlierEvents = 0; ///< Events that the caller got from earlier attempts.
+        bool isResponseBegun = false; ///< Whether the header of the response has arrived.
+        bool isConnectionLost = false;
+        bool hasProgressed = false; ///< Whether the response went on after its first event.
         std::shared_ptr<bool> isWritten = std::make_shared<bool>(false);
     };
 
@@ -113,6 +117,15 @@
     void releaseConnection(AttemptState&, const ResponseReader&);
     void logOutcome(Severity, std::string_view event, std::string_view outcome, std::string_view detail) const;
     AttemptResult handleLostResponse(AttemptState&, std::string_view reason);
+    AttemptResult handleLostConnection(AttemptState&, std::string_view reason);
+
+    /** Rejects a request whose prompt has quarantined parts: sets the error and returns true. */
+    bool isQuarantined();
+
+    /** Reports the request as a suspect if the server has crashed before it sent a part of the response body. */
+    boost::asio::awaitable<void> checkForCrash(const AttemptState&);
+    void recordProgress(AttemptState&);
+    void recordCompletion(const AttemptState&);
     AttemptResult handleMisdirected(AttemptState&);
     void startDeadline();
     void stop(StopReason);
@@ -136,6 +149,7 @@
     int m_sendCount = 0;
     bool m_hasReservedRetry = false; ///< A retry was taken from the budget and has not been used yet.
     bool m_mayHaveRun = false;
+    bool m_mayHaveCrashedServer = false; ///< A server crashed when it had begun to respond to this request.
     bool m_isOutcomeCounted = false;
     std::chrono::milliseconds m_expectedWait { 0 }; ///< Until there is capacity, as told by the coordinator of the service.
     Error m_lastError { ErrorKind::NoEngineAvailable, "" };
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -60,9 +60,24 @@
     , m_protocol(protocol)
     , m_settings(std::move(settings))
     , m_servers(clock, executor)
+    , m_quarantine(clock)
+    , m_crashDetector(clock, executor, m_quarantine)
 {
 }
 
+void TrafficEngine::setPromptHealthListener(PromptHealthListener* listener)
+{
+    m_promptHealthListener = listener;
+    m_crashDetector.setListener(listener);
+}
+
+void TrafficEngine::recordPromptProgress(const PromptFingerprint& prompt, TimePoint begunAt)
+{
+    const auto cleared = m_quarantine.recordProgress(prompt, begunAt);
+    if (!cleared.parts.empty() && m_promptHealthListener != nullptr)
+        m_promptHealthListener->partsCleared(cleared);
+}
+
 void TrafficEngine::setConfiguration(TrafficConfigurationPtr configuration)
 {
     if (m_configuration && configuration->version() <= m_configuration->version()) {
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -9,6 +9,8 @@
 #include "../placement/ReservationBroker.h"
 #include "../placement/ServerChoice.h"
 #include "../protocol/CallerProtocol.h"
+#include "../quarantine/CrashDetector.h"
+#include "../quarantine/PromptQuarantine.h"
 #include "../servers/ServerTable.h"
 
 #include <borageslip_core/errors/Result.h>
@@ -139,6 +141,15 @@
     std::chrono::milliseconds retryAfter(std::chrono::milliseconds timeLeft, std::chrono::milliseconds expectedWait);
 
     ServerTable& servers() { return m_servers; }
+    PromptQuarantine& quarantine() { return m_quarantine; }
+    CrashDetector& crashDetector() { return m_crashDetector; }
+
+    /** Sets who is notified of crashes of servers and of cleared prompt parts; null for nobody. The listener must outlive
+        all requests. */
+    void setPromptHealthListener(PromptHealthListener*);
+
+    /** To be called when the response to a prompt proceeds. @param begunAt when its body began. */
+    void recordPromptProgress(const PromptFingerprint&, TimePoint begunAt);
     const CallerProtocol& protocol() const { return m_protocol; }
     const Clock& clock() const { return m_clock; }
     const boost::asio::any_io_executor& executor() const { return m_executor; }
@@ -175,6 +186,9 @@
     TimePoint m_loadTimestamp {};
     bool m_refusesNewRequests = false;
     ServerTable m_servers;
+    PromptQuarantine m_quarantine;
+    CrashDetector m_crashDetector;
+    PromptHealthListener* m_promptHealthListener = nullptr;
     std::map<std::string, ServiceState, std::less<>> m_services;
     std::vector<ServerCandidate> m_candidates; ///< Reused by choose() to avoid an allocation per call.
     std::vector<BackendServerPtr> m_candidateServers;
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -48,11 +48,13 @@
     , m_coordination(engine.clock(), *this, m_ownName, m_incarnation, engine.choiceLimits().capFactor)
 {
     m_engine.setReservationBroker(this);
+    m_engine.setPromptHealthListener(this);
 }
 
 PeerLink::~PeerLink()
 {
     m_engine.setReservationBroker(nullptr);
+    m_engine.setPromptHealthListener(nullptr);
 }
 
 Status PeerLink::open(const udp::endpoint& endpoint)
@@ -210,6 +212,10 @@
             receiveReservationMessage(content, sender);
         else if constexpr (std::is_same_v<Content, ReservationReply>)
             receiveReservationReply(content);
+        else if constexpr (std::is_same_v<Content, ServerCrashNotice>)
+            m_engine.quarantine().recordCrash(content.crash);
+        else if constexpr (std::is_same_v<Content, ClearedPartsNotice>)
+            m_engine.quarantine().clear(content.cleared);
         else
             receiveCoordination(content, sender);
     },
@@ -225,8 +231,20 @@
     logEvent(Severity::Info, "member-heard-again", { { "member", name } });
 }
 
+void PeerLink::serverCrashed(const ServerCrash& crash)
+{
+    sendToAll(encodeServerCrashNotice({ m_ownName, crash }));
+}
+
+void PeerLink::partsCleared(const PromptFingerprint& cleared)
+{
+    sendToAll(encodeClearedPartsNotice({ m_ownName, cleared }));
+}
+
 void PeerLink::receiveReport(PeerReport report)
 {
+    for (const auto& prompt : report.quarantined)
+        m_engine.quarantine().adopt(prompt);
     const auto changes = m_reportTable.apply(std::move(report), m_engine.clock().now());
     for (const auto server : changes.servers)
         updatePeerUsage(server);
@@ -632,6 +650,7 @@
         if (now - outcomes.changedAt < reportInterval() * outcomeReportRepeats)
             report.outcomes.push_back({ server->hash(), outcomes.answers, outcomes.failures });
     }
+    report.quarantined = m_engine.quarantine().quarantined();
     const auto bytes = encodePeerReport(report);
     for (const auto& [name, listed] : m_members)
         send(bytes, listed.member.peerAddress);
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -29,7 +29,7 @@
 
     The report interval grows with the number of members, so that the rate of datagrams that an instance sends and
     receives does not depend on the size of the fleet. Not thread-safe: call it from the event loop that owns it. */
-class PeerLink final : public ReservationBroker, private CoordinationHost {
+class PeerLink final : public ReservationBroker, private CoordinationHost, private PromptHealthListener {
 public:
     /** @param ownCapacity network capacity of this instance in Mbit/s; 0 when unknown. */
     PeerLink(TrafficEngine&, std::string ownName, double ownCapacity = 0);
@@ -162,6 +162,8 @@
     void recordGrant(uint64_t server) override;
     std::vector<uint64_t> ejectedServersOf(std::string_view service) const override;
     void schedulePoll() override { m_pollEvent.notify(); }
+    void serverCrashed(const ServerCrash&) override;
+    void partsCleared(const PromptFingerprint&) override;
 
     ReservationMessage usageMessage(const BackendServer&);
     void send(std::span<const uint8_t>, const boost::asio::ip::udp::endpoint&);
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -1,5 +1,7 @@
 #include "PeerReport.h"
 
+#include "QuarantineMessages.h"
+
 #include <borageslip_core/encoding/Cbor.h>
 
 #include <algorithm>
@@ -26,7 +28,14 @@
     auto outcomes = nlohmann::json::array();
     for (const auto& row : report.outcomes)
         outcomes.push_back({ row.server, row.answers, row.failures });
-    return nlohmann::json::to_cbor(nlohmann::json::array({ formatVersion, report.sender, report.incarnation, report.sequence, report.acceptsCallers, std::move(usages), std::move(outcomes) }));
+    auto document = nlohmann::json::array({ formatVersion, report.sender, report.incarnation, report.sequence, report.acceptsCallers, std::move(usages), std::move(outcomes) });
+    if (report.quarantined.empty())
+        return nlohmann::json::to_cbor(document);
+    auto quarantined = nlohmann::json::array();
+    for (const auto& prompt : report.quarantined)
+        quarantined.push_back(quarantineRow(prompt));
+    document.push_back(std::move(quarantined));
+    return nlohmann::json::to_cbor(document);
 }
 
 Result<PeerReport> decodePeerReport(std::span<const uint8_t> bytes)
@@ -54,6 +63,12 @@
             return malformed;
         report.outcomes.push_back({ row[0], row[1], row[2] });
     }
+    if (document.size() == 7)
+        return report;
+    auto quarantined = quarantinesFrom(document[7]);
+    if (!isOk(quarantined))
+        return error(quarantined);
+    report.quarantined = value(std::move(quarantined));
     return report;
 }
 
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../quarantine/PromptQuarantine.h"
+
 #include <borageslip_core/errors/Result.h>
 
 #include <cstdint>
@@ -36,6 +38,7 @@
     bool acceptsCallers = false; ///< Whether callers may be directed to the sender.
     std::vector<ServerUsage> usages; ///< Of the backend servers at which the sender has requests.
     std::vector<ServerOutcomes> outcomes {}; ///< Totals of the backend servers at which requests have ended recently.
+    std::vector<QuarantinedPrompt> quarantined {}; ///< As known to the sender.
 
     bool operator==(const PeerReport&) const = default;
 };
--- a/modules/borageslip_traffic/peers/ReservationMessages.cpp
+++ b/modules/borageslip_traffic/peers/ReservationMessages.cpp
@@ -73,6 +73,10 @@
         return peerMessageFrom(serviceDecisionsFrom(document));
     if (hasKind && document[0] == coordinatorNoticeKind)
         return peerMessageFrom(coordinatorNoticeFrom(document));
+    if (hasKind && document[0] == serverCrashNoticeKind)
+        return peerMessageFrom(serverCrashNoticeFrom(document));
+    if (hasKind && document[0] == clearedPartsNoticeKind)
+        return peerMessageFrom(clearedPartsNoticeFrom(document));
     return peerMessageFrom(decodePeerReport(bytes));
 }
 
--- a/modules/borageslip_traffic/peers/ReservationMessages.h
+++ b/modules/borageslip_traffic/peers/ReservationMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PeerReport.h"
+#include "QuarantineMessages.h"
 #include "ServiceMessages.h"
 
 #include <chrono>
@@ -56,7 +57,7 @@
 };
 
 /** Any message between instances. */
-using PeerMessage = std::variant<PeerReport, ReservationMessage, ReservationReply, ServiceState, ServiceDecisions, CoordinatorNotice>;
+using PeerMessage = std::variant<PeerReport, ReservationMessage, ReservationReply, ServiceState, ServiceDecisions, CoordinatorNotice, ServerCrashNotice, ClearedPartsNotice>;
 
 std::vector<uint8_t> encodeReservationMessage(const ReservationMessage&);
 std::vector<uint8_t> encodeReservationReply(const ReservationReply&);
--- /dev/null
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -0,0 +1,95 @@
+#include "CrashDetector.h"
+
+#include <borageslip_core/logging/Log.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace borageslip {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr Duration connectLimit = milliseconds(100); ///< Requests wait for the result before they are sent again.
+    constexpr size_t maxSuspectsOfCrash = 16; ///< Bounds the size of a datagram.
+    constexpr int maxReportsPerSecond = 20; ///< To the other instances.
+
+}
+
+CrashDetector::CrashDetector(const Clock& clock, asio::any_io_executor executor, PromptQuarantine& quarantine)
+    : m_clock(clock)
+    , m_executor(std::move(executor))
+    , m_quarantine(quarantine)
+{
+}
+
+asio::awaitable<bool> CrashDetector::hasCrashed(BackendServerPtr server, PromptFingerprint suspect)
+{
+    auto& running = m_checks[server->hash()];
+    const bool isFirst = running == nullptr;
+    if (isFirst)
+        running = std::make_shared<Check>(m_executor);
+    const auto own = running;
+    if (own->suspects.size() < maxSuspectsOfCrash)
+        own->suspects.push_back(std::move(suspect));
+    if (isFirst) {
+        own->ended.expires_at(asio::steady_timer::time_point::max());
+        asio::co_spawn(
+            m_executor, [this, server, own] { return check(server, own); }, asio::detached);
+    }
+    boost::system::error_code ignored;
+    co_await own->ended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_return own->hasCrashed;
+}
+
+asio::awaitable<void> CrashDetector::check(BackendServerPtr server, std::shared_ptr<Check> running)
+{
+    auto socket = std::make_shared<asio::ip::tcp::socket>(m_executor);
+    asio::steady_timer timer(m_executor);
+    timer.expires_after(connectLimit);
+    timer.async_wait([socket](boost::system::error_code failure) {
+        boost::system::error_code ignored;
+        if (!failure)
+            socket->close(ignored);
+    });
+    boost::system::error_code failure;
+    co_await socket->async_connect(server->pool().endpoint(), asio::redirect_error(asio::use_awaitable, failure));
+    timer.cancel();
+    running->hasCrashed = failure == asio::error::connection_refused;
+    m_checks.erase(server->hash());
+    if (running->hasCrashed)
+        report(*server, *running);
+    running->ended.cancel();
+}
+
+bool CrashDetector::mayReport()
+{
+    const auto now = m_clock.now();
+    if (now - m_reportsCountedFrom >= std::chrono::seconds(1)) {
+        m_reportsCountedFrom = now;
+        m_reportCount = 0;
+    }
+    return ++m_reportCount <= maxReportsPerSecond;
+}
+
+void CrashDetector::report(const BackendServer& server, Check& running)
+{
+    ++m_crashCount;
+    const ServerCrash crash { server.hash(), std::move(running.suspects) };
+    auto suspects = nlohmann::json::array();
+    for (const auto& suspect : crash.suspects)
+        suspects.push_back(fingerprintJson(suspect));
+    logEvent(Severity::Warning, "server-crashed", { { "server", server.description().id }, { "suspects", std::move(suspects) } });
+    m_quarantine.recordCrash(crash);
+    if (m_listener != nullptr && mayReport())
+        m_listener->serverCrashed(crash);
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "../servers/BackendServer.h"
+#include "PromptHealthListener.h"
+#include "PromptQuarantine.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <unordered_map>
+
+namespace borageslip {
+
+/** Finds out whether a backend server that broke off a connection has crashed, and reports the requests that it was about
+    to answer.
+
+    A server whose address refuses a new connection has ended; one that accepts it, or from which nothing is heard, has
+    not crashed as far as this instance knows: its connections were reset, or the network is cut. One check serves all
+    requests that lost their connection to the same server. Not thread-safe: call it from the event loop that owns it. */
+class CrashDetector {
+public:
+    CrashDetector(const Clock&, boost::asio::any_io_executor, PromptQuarantine&);
+
+    /** Null for none. The listener must outlive all requests. */
+    void setListener(PromptHealthListener* listener) { m_listener = listener; }
+
+    /** Completes when it is known whether the server has crashed, after a short time at the latest.
+        @param suspect fingerprint of a request to which the server had sent no part of a response body. */
+    boost::asio::awaitable<bool> hasCrashed(BackendServerPtr, PromptFingerprint suspect);
+
+    /** Crashes that this instance has observed and reported. */
+    uint64_t crashCount() const { return m_crashCount; }
+
+private:
+    struct Check {
+        explicit Check(const boost::asio::any_io_executor& executor)
+            : ended(executor)
+        {
+        }
+
+        std::vector<PromptFingerprint> suspects {};
+        boost::asio::steady_timer ended; ///< Cancelled when the result is known.
+        bool hasCrashed = false;
+    };
+
+    boost::asio::awaitable<void> check(BackendServerPtr, std::shared_ptr<Check>);
+    void report(const BackendServer&, Check&);
+    bool mayReport();
+
+    const Clock& m_clock;
+    boost::asio::any_io_executor m_executor;
+    PromptQuarantine& m_quarantine;
+    PromptHealthListener* m_listener = nullptr;
+    std::unordered_map<uint64_t, std::shared_ptr<Check>> m_checks; ///< By the server's hash.
+    TimePoint m_reportsCountedFrom {};
+    int m_reportCount = 0; ///< Since m_reportsCountedFrom.
+    uint64_t m_crashCount = 0;
+};
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "../protocol/CallerProtocol.h"
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+namespace borageslip {
+
+/** The prompt parts of a request that other requests may share: all but the last one, which is specific to the request.
+
+    Parts are compared within one model only, because a part that one model cannot process may be harmless to another. */
+struct PromptFingerprint {
+    std::string model;
+    std::vector<uint64_t> parts; ///< Ids in ascending order, without duplicates.
+
+    bool operator==(const PromptFingerprint&) const = default;
+};
+
+/** Returns the fingerprint of a request's prompt; without parts if its prompt has no shared part. */
+PromptFingerprint promptFingerprint(const RequestMetadata&);
+
+/** For log lines: the parts in hexadecimal, as callers send them. */
+nlohmann::json fingerprintJson(const PromptFingerprint&);
+
+}
--- a/tests/platform/fleet_test.py
+++ b/tests/platform/fleet_test.py
@@ -76,6 +76,51 @@
     check("one instance of a failure domain watches the store for the others", 0 < watches <= 8, watches)
 
 
+async def check_crashing_part(fleet, servers, folder):
+    """Guards against a prompt part that crashes one server after the other (BUDGET): the instances must stop sending
+    requests with it, and go on serving those that share the other parts."""
+    store, entries = fleet
+    for server in servers:
+        server.crashing_part = "dead"
+        server.event_delay = 0.01
+        server.runs.clear()
+
+    async def ask(number, is_tainted):
+        middle = "50b:400,dead:90" if is_tainted else "50b:400"
+        entry = entries[number % len(entries)]
+        return await entry.ask("/stream/stream/a", "POST", body=b"x", identity=f"part-{is_tainted}-{number}", headers=["X-Model: m", "X-Token-Usage: 600,20", f"X-Prompt-Prefix: 0f:100,{middle},{number + 4096:x}:10"])
+
+    tainted, sound = [], []
+    for number in range(30):
+        tainted.append(await ask(number, True))
+        sound += await asyncio.gather(*(ask(4 * number + extra, False) for extra in range(4)))
+        await asyncio.sleep(0.1)
+    sent = [headers["x-request-id"] for server in servers for _, headers, _ in server.runs if "part-True" in headers["x-request-id"]]
+    crashes = sum(server.crashes for server in servers)
+    check("a prompt part that crashes servers reaches few of them", len(sent) <= 5, f"{len(sent)} requests, {crashes} crashes")
+    check("a request that may have crashed a server is not sent again", len(sent) == len(set(sent)), sent)
+    rejected = [answer for answer in tainted[10:] if answer.status == 503 and float(answer.headers.get("retry-after", 0)) >= 60]
+    check("requests with such a part are rejected as not run, with a long retry time", len(rejected) == 20, [str(answer) for answer in tainted[10:]])
+    check("sound requests that share the other parts are served", sum(answer.status == 200 and answer.is_complete for answer in sound[40:]) >= 0.95 * len(sound[40:]), [answer.status for answer in sound])
+    newcomer = Entry(entries[0].binary, folder, store.address, name="entry-new")
+    await newcomer.start()
+    try:
+        await newcomer.wait_until(newcomer.is_ready)
+        await asyncio.sleep(1)
+        answer = await newcomer.ask("/stream/stream/a", "POST", body=b"x", identity="part-new", headers=["X-Model: m", "X-Token-Usage: 600,20", "X-Prompt-Prefix: 0f:100,50b:400,dead:90,1234:10"])
+        check("an instance that starts later learns of the part from the others", answer.status == 503 and sum(server.crashes for server in servers) == crashes, answer)
+        metrics = (await newcomer.get(newcomer.metrics, "/metrics")).body
+        check("the quarantined part is counted", b"borageslip_entry_quarantined_prompts 1" in metrics and b"borageslip_entry_quarantine_rejections_total 1" in metrics)
+    finally:
+        newcomer.process.kill()
+        await newcomer.process.wait()
+    lines = [line for entry in entries for line in entry.log_lines()]
+    check("the log names the crashed servers, the suspected parts and the quarantined one", any(line["event"] == "server-crashed" and "dead" in line["suspects"][0]["parts"] for line in lines) and any(line["event"] == "prompt-quarantined" and "dead" in line["parts"] for line in lines))
+    for server in servers:
+        server.crashing_part = None
+        server.event_delay = 0.02
+
+
 async def check_slots(fleet, servers):
     """Guards against overloading a backend server when several instances choose it at the same time from the same reported
     loads."""
@@ -157,10 +202,11 @@
 async def run(binary):
     store = Store()
     _, store_address = await start_server(store.serve)
+    store.address = store_address
     _, second_address = await start_server(store.serve_rejectable)
     servers = [BackendServer(f"i-{number}") for number in range(3)]
     for server in servers:
-        _, server.address = await start_server(server.serve)
+        await server.listen()
         store.put_json(f"servers/{server.identity}", server.entry("pool"))
     store.put_json("op/config", configuration(7))
     with tempfile.TemporaryDirectory() as folder:
@@ -173,6 +219,7 @@
             await asyncio.sleep(2)
             fleet = (store, entries)
             await asyncio.wait_for(check_slots(fleet, servers), 60)
+            await asyncio.wait_for(check_crashing_part(fleet, servers, folder), 60)
             await asyncio.wait_for(check_coordinator_loss(fleet, servers, signal.SIGSTOP), 60)
             await asyncio.wait_for(check_store_calls(fleet), 60)
             await asyncio.wait_for(check_store_rejection(fleet, "busy", 20), 60)
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -171,6 +171,10 @@
 }
 
 
+def prompt_parts(headers):
+    return [entry.split(":")[0] for entry in headers.get("x-prompt-prefix", "").split(",")]
+
+
 class BackendServer:
     """Backend server for plain requests and event streams; `behaviour` names the fault that it injects."""
 
@@ -188,12 +192,34 @@
         self.was_disconnected = False
         self.running = 0
         self.peak_running = 0
+        self.crashing_part = None  # Id of a prompt part; the server crashes when it begins to respond to a prompt with it.
+        self.down_time = 0.3  # Seconds after a crash.
+        self.crashes = 0
+        self.listener = None
+        self.writers = set()
+
+    async def listen(self, port=0):
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", port, backlog=200)
+        self.address = f"127.0.0.1:{self.listener.sockets[0].getsockname()[1]}"
+
+    def crash(self):
+        """Closes the listener and all connections, and listens again at the same address after the down time."""
+        if not self.listener.is_serving():
+            return
+        self.crashes += 1
+        self.running = 0
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        asyncio.get_running_loop().call_later(self.down_time, lambda: asyncio.ensure_future(self.listen(int(self.address.split(":")[1]))))
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             await self._serve(reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
+        self.writers.discard(writer)
         writer.close()
 
     async def _serve(self, reader, writer):
@@ -210,6 +236,12 @@
                 writer.write(response(503, headers=own_headers + [("X-Not-Executed", "1")]))
                 continue
             self.runs.append((line, headers, body))
+            if self.crashing_part and self.crashing_part in prompt_parts(headers)[:-1]:
+                writer.write("".join(["HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"] + [f"{name}: {value}\r\n" for name, value in own_headers] + ["\r\n"]).encode())
+                await writer.drain()
+                await asyncio.sleep(0.01)
+                self.crash()
+                return
             self.running += 1
             self.peak_running = max(self.peak_running, self.running)
             if self.behaviour in ENDLESS:
