Send no requests to servers that say in a response that they leave

The server is now out of service at the instance that got the answer until its next start (another born, or address), also when its entry is removed and listed again in the meantime. A response with 421 says nothing about the server that was asked.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -302,7 +302,9 @@
     // The timeout of a stream covers the whole stream, whereas its caller is served from the first event on.
     const auto serviceTime = isStream ? Duration::zero() : m_engine.serviceTime(m_admitted.service);
     const StartLimits limits = startLimits(m_arrivedAt, m_deadline, route().latencyObjective, serviceTime, isStream ? ResponseShape::Stream : ResponseShape::Whole);
-    return { m_admitted.service, m_admitted.requestPriority(), hashBytes(m_admitted.account), limits.onTimeUntil, limits.startUntil, m_triedServers };
+    auto excluded = m_engine.unavailableServers(m_admitted.service);
+    excluded.insert(excluded.end(), m_triedServers.begin(), m_triedServers.end());
+    return { m_admitted.service, m_admitted.requestPriority(), hashBytes(m_admitted.account), limits.onTimeUntil, limits.startUntil, std::move(excluded) };
 }
 
 asio::awaitable<std::unique_ptr<SlotTicket>> Exchange::awaitDecision(const SlotDemand& demand)
@@ -432,6 +434,16 @@
     co_return co_await receive(state);
 }
 
+void Exchange::applyServerNotices(const AttemptState& state, const ResponseMetadata& metadata)
+{
+    auto& server = *state.server;
+    // The response may come from another server at the same address.
+    if (metadata.isMisdirected || !metadata.isServerLeaving || server.isLeaving())
+        return;
+    logEvent(Severity::Info, "server-leaving", { { "server", server.description().id } });
+    server.setLeaving();
+}
+
 bool Exchange::isResponseToThisRequest(const AttemptState& state, const ResponseMetadata& metadata) const
 {
     if (!metadata.requestId.empty())
@@ -453,6 +465,7 @@
             co_return handleLostConnection(state, "connection lost before a response was received");
         state.isResponseBegun = true;
         const auto metadata = m_engine.protocol().responseMetadata(reader.head().result_int(), reader.head());
+        applyServerNotices(state, metadata);
         if (!isResponseToThisRequest(state, metadata)) {
             logEvent(Severity::Warning, "foreign-answer", { { "request", m_metadata.requestId }, { "server", state.server->description().id }, { "answer", metadata.requestId } });
             const bool isDrained = co_await source.discardRest();
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -160,6 +160,16 @@
     return std::any_of(servers.begin(), servers.end(), [](const auto& server) { return server->isInService(); });
 }
 
+std::vector<uint64_t> TrafficEngine::unavailableServers(std::string_view service) const
+{
+    std::vector<uint64_t> unavailable;
+    for (const auto& server : m_servers.ofService(service)) {
+        if (server->isLeaving())
+            unavailable.push_back(server->hash());
+    }
+    return unavailable;
+}
+
 double TrafficEngine::meanInFlight(std::string_view service) const
 {
     int total = 0;
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -121,6 +121,9 @@
     const ServerChoiceLimits& choiceLimits() const { return m_settings.choice; }
 
     bool hasServersInService(std::string_view service) const;
+
+    /** Hashes of the service's servers that accept no requests of this instance at present. */
+    std::vector<uint64_t> unavailableServers(std::string_view service) const;
     WaitQueue& waitQueue(const std::string& service) { return serviceState(service).waitQueue; }
     size_t waitingCount() const;
     FleetRetryBudget& retryBudget(const std::string& service) { return serviceState(service).retryBudget; }
--- a/modules/borageslip_traffic/protocol/CallerProtocol.h
+++ b/modules/borageslip_traffic/protocol/CallerProtocol.h
@@ -52,6 +52,7 @@
     std::string_view requestId; ///< Id of the request to which the response belongs; empty if not stated.
     bool isNotRun = false; ///< The backend server reported that it did not run the request and never will.
     bool isMisdirected = false; ///< The address belongs to a backend server other than the intended one.
+    bool isServerLeaving = false; ///< The backend server is about to end and wants no further requests.
     bool isEncoded = false; ///< The response has a content encoding, so its body is not what the backend server produced.
     std::optional<ServerLoad> load {};
 };
--- a/modules/borageslip_traffic/servers/BackendServer.cpp
+++ b/modules/borageslip_traffic/servers/BackendServer.cpp
@@ -44,6 +44,20 @@
     m_pool.closeAll();
 }
 
+void BackendServer::setLeaving()
+{
+    m_isLeaving = true;
+    m_pool.closeAll();
+}
+
+void BackendServer::inherit(const BackendServer& earlier)
+{
+    const auto& other = earlier.m_description;
+    const bool isSameIncarnation = other.id == m_description.id && other.startedAtMs == m_description.startedAtMs && other.address == m_description.address;
+    if (isSameIncarnation)
+        m_isLeaving |= earlier.m_isLeaving;
+}
+
 bool BackendServer::recordPrefix(uint64_t affinity)
 {
     if (!m_recentPrefixes)
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -36,7 +36,15 @@
     ConnectionPool& pool() { return m_pool; }
 
     /** Whether new requests may be sent to it. */
-    bool isInService() const { return !m_isRemoved && !m_description.isDraining; }
+    bool isInService() const { return !m_isRemoved && !m_description.isDraining && !m_isLeaving; }
+
+    /** Records that it said in a response that it is leaving; it gets no new requests until its next start, whatever the
+        platform lists. */
+    void setLeaving();
+    bool isLeaving() const { return m_isLeaving; }
+
+    /** Takes over what an earlier listing of the same incarnation has said of itself. */
+    void inherit(const BackendServer&);
 
     /** Whether it is still slow after its start. */
     bool isCold(TimePoint now) const { return now < m_coldUntil; }
@@ -118,6 +126,7 @@
     uint64_t m_hash;
     ConnectionPool m_pool;
     bool m_isRemoved = false;
+    bool m_isLeaving = false;
     int m_ownInFlight = 0;
     int m_peersInFlight = 0;
     int64_t m_ownPendingPrefill = 0;
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+    constexpr Duration removedLifetime = std::chrono::minutes(10); ///< For which a removed server is remembered.
     constexpr Duration removalGracePeriod = std::chrono::seconds(2); ///< Entries of live servers that expired during an outage of the store return within about this time.
 
 }
@@ -40,6 +41,10 @@
 {
     logEvent(Severity::Info, "server-added", { { "server", description.id }, { "service", description.service }, { "draining", description.isDraining } });
     auto server = std::make_shared<BackendServer>(std::move(description), m_clock, m_executor);
+    if (const auto removed = m_removed.find(server->description().id); removed != m_removed.end()) {
+        server->inherit(*removed->second.server);
+        m_removed.erase(removed);
+    }
     m_servers.emplace(server->description().id, server);
     m_health[server->description().service].add(server->hash());
     m_byHash.insert_or_assign(server->hash(), server);
@@ -55,6 +60,8 @@
     logEvent(Severity::Info, "server-removed", { { "server", id } });
     m_removalTimes.erase(std::string(id));
     server->remove();
+    if (server->isLeaving())
+        m_removed.insert_or_assign(server->description().id, RemovedServer { server, m_clock.now() });
     m_health[server->description().service].remove(server->hash());
     m_byHash.erase(server->hash());
     std::erase(m_byService[server->description().service], server);
@@ -129,9 +136,16 @@
     }
 }
 
+void ServerTable::forgetRemoved()
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_removed, [&](const auto& entry) { return now - entry.second.removedAt >= removedLifetime; });
+}
+
 void ServerTable::maintain()
 {
     removeExpired();
+    forgetRemoved();
     evaluateHealth();
     for (const auto& [id, server] : m_servers)
         server->pool().closeStale();
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -52,6 +52,7 @@
 private:
     void add(ServerDescription);
     void removeExpired();
+    void forgetRemoved();
     void evaluateHealth();
 
     const Clock& m_clock;
@@ -60,6 +61,13 @@
     std::map<std::string, std::vector<BackendServerPtr>, std::less<>> m_byService;
     std::unordered_map<uint64_t, BackendServerPtr> m_byHash;
     std::map<std::string, ServerHealth, std::less<>> m_health;
+    /** A removed server that has said of itself that it wants no requests. */
+    struct RemovedServer {
+        BackendServerPtr server;
+        TimePoint removedAt {};
+    };
+
+    std::map<std::string, RemovedServer, std::less<>> m_removed; ///< By id; the platform may list them again.
     std::map<std::string, TimePoint, std::less<>> m_removalTimes; ///< Due times of scheduled removals, by server id.
 };
 
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -446,6 +446,32 @@
     check("the server gets requests again after it has recovered", recovered_runs > 20, recovered_runs)
 
 
+async def check_leaving_server(fleet):
+    """Guards against requests to a server that said in a response that it is leaving while the store lists it as ready (DRAIN)."""
+    fleet.set_behaviour("sound")
+    leaving = fleet.servers[0]
+    leaving.is_leaving = True
+    for number in range(30):
+        await fleet.entry.ask("/read/a", identity=f"leave-{number}")
+    check("a server that says that it is leaving gets no further request", len(leaving.runs) <= 1 and fleet.runs() == 30, [len(server.runs) for server in fleet.servers])
+    fleet.store.remove(f"servers/{leaving.identity}")
+    await asyncio.sleep(0.8)
+    fleet.list_servers()
+    await asyncio.sleep(1)
+    leaving.runs.clear()
+    for number in range(30):
+        await fleet.entry.ask("/book/a", "POST", identity=f"leave-again-{number}", body=b"1")
+    check("a leaving server that is listed again gets no request", not leaving.runs, len(leaving.runs))
+    leaving.is_leaving = False
+    fleet.store.put_json(f"servers/{leaving.identity}", leaving.entry("pool", born=2000))
+    await asyncio.sleep(1)
+    for number in range(30):
+        await fleet.entry.ask("/read/a", identity=f"leave-new-{number}")
+    check("the next start of the server gets requests again", len(leaving.runs) > 0, [len(server.runs) for server in fleet.servers])
+    fleet.list_servers()
+    await asyncio.sleep(1)
+
+
 def resident_bytes(process):
     return int(pathlib.Path(f"/proc/{process.pid}/statm").read_text().split()[1]) * 4096
 
@@ -543,7 +569,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.wait_until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_endless_answers, check_metrics, check_store_outage, check_stop, check_explain):
+            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_leaving_server, check_endless_answers, check_metrics, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -195,6 +195,7 @@
         self.crashing_part = None  # Id of a prompt part; the server crashes when it begins to respond to a prompt with it.
         self.down_time = 0.3  # Seconds after a crash.
         self.crashes = 0
+        self.is_leaving = False  # Stated in all responses, while the platform still lists it as ready.
         self.listener = None
         self.writers = set()
 
@@ -232,6 +233,8 @@
                 writer.write(response(421, headers=[("X-Instance-Id", self.identity), ("X-Request-Id", headers.get("x-request-id", ""))]))
                 continue
             own_headers = [("X-Request-Id", headers.get("x-request-id", "")), ("X-Response-Seal", "seal-" + self.identity)]
+            if self.is_leaving:
+                own_headers.append(("Server-Leaving", "1"))
             if self.behaviour == "full":
                 writer.write(response(503, headers=own_headers + [("X-Not-Executed", "1")]))
                 continue
