Send no requests to servers for the time of their Retry-After

Nothing read the field of a server. The server now gets no request of the instance for that time: it is not chosen, not asked for at the coordinator of its service, and checked again before a request is sent. If all servers of the service want none, requests wait for the first one if it comes back within their deadline and are rejected as not run otherwise.

entry_test, on the code before: a server that answers 503 with Retry-After: 1.5 gets another request 0.1 s later, and all 12 requests are sent in vain when all three servers want none (3 with this change). None of its checks fails now.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -226,6 +226,9 @@
 {
     if (!m_engine.hasServersInService(m_admitted.service))
         co_return Error { ErrorKind::NoEngineAvailable, "service \"" + m_admitted.service + "\" has no backend server in service" };
+    auto resumed = co_await awaitEndOfPause();
+    if (!isOk(resumed))
+        co_return error(resumed);
     if (m_engine.usesServiceQueue(m_admitted))
         co_return co_await awaitSlot();
     const bool isRetry = !m_triedServers.empty();
@@ -240,6 +243,21 @@
     co_return co_await waitInQueue();
 }
 
+asio::awaitable<Status> Exchange::awaitEndOfPause()
+{
+    while (m_stopReason == StopReason::None) {
+        const auto pause = m_engine.pauseOf(m_admitted.service);
+        if (pause == Duration::zero())
+            break;
+        if (pause >= timeLeft()) {
+            m_expectedWait = toMilliseconds(pause);
+            co_return Error { ErrorKind::Overloaded, "all backend servers of \"" + m_admitted.service + "\" have asked this instance to wait" };
+        }
+        co_await m_wakeEvent.waitFor(pause);
+    }
+    co_return ok();
+}
+
 void Exchange::countOutcome(uint64_t TrafficCounts::*counter)
 {
     // The caller may disconnect while its response is being written, which reports a second outcome.
@@ -342,7 +360,7 @@
             if (server)
                 ticket->useWithoutGrant(server->hash());
         }
-        const bool isUsable = server && server->isInService();
+        const bool isUsable = server && server->isInService() && !server->isPaused(m_engine.clock().now());
         if (isUsable && m_stopReason == StopReason::None) {
             recordWait(queuedAt);
             auto reservation = std::make_shared<detail::ServerReservation>(m_engine, server, 0, std::move(ticket));
@@ -377,7 +395,7 @@
     }
     if (m_stopReason != StopReason::None)
         co_return AttemptResult::Aborted;
-    if (!server->isInService()) {
+    if (!server->isInService() || server->isPaused(m_engine.clock().now())) {
         m_lastError = { ErrorKind::EngineUnreachable, "the backend server was taken out of service while the connection was being opened" };
         co_return AttemptResult::NotSent;
     }
@@ -438,10 +456,16 @@
 {
     auto& server = *state.server;
     // The response may come from another server at the same address.
-    if (metadata.isMisdirected || !metadata.isServerLeaving || server.isLeaving())
+    if (metadata.isMisdirected)
         return;
-    logEvent(Severity::Info, "server-leaving", { { "server", server.description().id } });
-    server.setLeaving();
+    if (metadata.isServerLeaving && !server.isLeaving()) {
+        logEvent(Severity::Info, "server-leaving", { { "server", server.description().id } });
+        server.setLeaving();
+    }
+    if (metadata.retryAfter) {
+        logEvent(Severity::Info, "server-paused", { { "server", server.description().id }, { "retry_after_ms", metadata.retryAfter->count() } });
+        server.pauseFor(*metadata.retryAfter);
+    }
 }
 
 bool Exchange::isResponseToThisRequest(const AttemptState& state, const ResponseMetadata& metadata) const
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -79,6 +79,9 @@
     using ReservationPtr = std::shared_ptr<detail::ServerReservation>;
 
     boost::asio::awaitable<Result<ReservationPtr>> awaitReservation();
+
+    /** Waits until a server of the service accepts requests of this instance. Errors: Overloaded if none does in time. */
+    boost::asio::awaitable<Status> awaitEndOfPause();
     boost::asio::awaitable<Result<ReservationPtr>> waitInQueue();
 
     /** Waits for a slot from the queue of the service. */
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -160,11 +160,25 @@
     return std::any_of(servers.begin(), servers.end(), [](const auto& server) { return server->isInService(); });
 }
 
+Duration TrafficEngine::pauseOf(std::string_view service) const
+{
+    const auto now = m_clock.now();
+    std::optional<Duration> shortest;
+    for (const auto& server : m_servers.ofService(service)) {
+        if (!server->isInService())
+            continue;
+        const auto pause = std::max(Duration::zero(), server->pausedUntil() - now);
+        shortest = shortest ? std::min(*shortest, pause) : pause;
+    }
+    return shortest.value_or(Duration::zero());
+}
+
 std::vector<uint64_t> TrafficEngine::unavailableServers(std::string_view service) const
 {
+    const auto now = m_clock.now();
     std::vector<uint64_t> unavailable;
     for (const auto& server : m_servers.ofService(service)) {
-        if (server->isLeaving())
+        if (server->isLeaving() || server->isPaused(now))
             unavailable.push_back(server->hash());
     }
     return unavailable;
@@ -193,7 +207,7 @@
     for (const auto& server : m_servers.ofService(admitted.service)) {
         if (!server->isInService())
             continue;
-        const bool isExcluded = std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
+        const bool isExcluded = server->isPaused(now) || std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
         const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), admitted.hash, now);
         const int slots = keepsReserve ? PriorityReserve::unreservedSlots(server->description().slots) : server->description().slots;
         m_candidates.push_back({ server->hash(), server->inFlight(), slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -122,6 +122,9 @@
 
     bool hasServersInService(std::string_view service) const;
 
+    /** Time until a server of the service accepts requests of this instance again; zero if one does now. */
+    Duration pauseOf(std::string_view service) const;
+
     /** Hashes of the service's servers that accept no requests of this instance at present. */
     std::vector<uint64_t> unavailableServers(std::string_view service) const;
     WaitQueue& waitQueue(const std::string& service) { return serviceState(service).waitQueue; }
--- a/modules/borageslip_traffic/servers/BackendServer.cpp
+++ b/modules/borageslip_traffic/servers/BackendServer.cpp
@@ -54,8 +54,10 @@
 {
     const auto& other = earlier.m_description;
     const bool isSameIncarnation = other.id == m_description.id && other.startedAtMs == m_description.startedAtMs && other.address == m_description.address;
-    if (isSameIncarnation)
-        m_isLeaving |= earlier.m_isLeaving;
+    if (!isSameIncarnation)
+        return;
+    m_isLeaving |= earlier.m_isLeaving;
+    m_pausedUntil = std::max(m_pausedUntil, earlier.m_pausedUntil);
 }
 
 bool BackendServer::recordPrefix(uint64_t affinity)
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -5,6 +5,7 @@
 
 #include <borageslip_core/time/Clock.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -43,6 +44,11 @@
     void setLeaving();
     bool isLeaving() const { return m_isLeaving; }
 
+    /** Records that it wants no request of this instance for some time. */
+    void pauseFor(std::chrono::milliseconds time) { m_pausedUntil = std::max(m_pausedUntil, m_clock.now() + time); }
+    bool isPaused(TimePoint now) const { return now < m_pausedUntil; }
+    TimePoint pausedUntil() const { return m_pausedUntil; }
+
     /** Takes over what an earlier listing of the same incarnation has said of itself. */
     void inherit(const BackendServer&);
 
@@ -127,6 +133,7 @@
     ConnectionPool m_pool;
     bool m_isRemoved = false;
     bool m_isLeaving = false;
+    TimePoint m_pausedUntil {};
     int m_ownInFlight = 0;
     int m_peersInFlight = 0;
     int64_t m_ownPendingPrefill = 0;
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -60,7 +60,7 @@
     logEvent(Severity::Info, "server-removed", { { "server", id } });
     m_removalTimes.erase(std::string(id));
     server->remove();
-    if (server->isLeaving())
+    if (server->isLeaving() || server->isPaused(m_clock.now()))
         m_removed.insert_or_assign(server->description().id, RemovedServer { server, m_clock.now() });
     m_health[server->description().service].remove(server->hash());
     m_byHash.erase(server->hash());
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -472,6 +472,41 @@
     await asyncio.sleep(1)
 
 
+async def check_paused_server(fleet):
+    """Guards against requests to a server that answered 503 with Retry-After (BUDGET): it wants none from this instance for
+    that time."""
+    fleet.set_behaviour("sound")
+    paused = fleet.servers[1]
+    paused.behaviour = "paused"
+    answers = []
+    for number in range(40):
+        answers.append(await fleet.entry.ask("/read/a", identity=f"pause-{number}"))
+        await asyncio.sleep(0.05)
+    firsts = [when for when, _ in paused.arrivals]
+    early = [when for first, when in zip(firsts, firsts[1:]) if when - first < paused.retry_after]
+    check("a server that answers 503 with Retry-After gets no request for that time", firsts and not early and len(firsts) <= 3, firsts)
+    check("the requests are served by the other servers", all(answer.status == 200 for answer in answers), [answer.status for answer in answers])
+    paused.behaviour = "sound"
+    await asyncio.sleep(paused.retry_after)
+    paused.runs.clear()
+    for number in range(30):
+        await fleet.entry.ask("/read/a", identity=f"pause-over-{number}")
+    check("the server gets requests again after that time", len(paused.runs) > 0, len(paused.runs))
+    fleet.set_behaviour("paused")
+    for server in fleet.servers:
+        server.retry_after = 30
+        server.arrivals.clear()
+    started = time.monotonic()
+    answers = [await fleet.entry.ask("/book/a", "POST", identity=f"pause-all-{number}", body=b"1") for number in range(12)]
+    arrivals = sum(len(server.arrivals) for server in fleet.servers)
+    check("when all servers want no requests, requests are rejected at once as not run", all(answer.status == 503 and "retry-after" in answer.headers for answer in answers) and arrivals == len(fleet.servers) and time.monotonic() - started < 2, (arrivals, [answer.status for answer in answers]))
+    fleet.set_behaviour("sound")
+    for server in fleet.servers:
+        server.retry_after = 1.5
+        fleet.store.put_json(f"servers/{server.identity}", server.entry("pool", born=3000))
+    await asyncio.sleep(1)
+
+
 def resident_bytes(process):
     return int(pathlib.Path(f"/proc/{process.pid}/statm").read_text().split()[1]) * 4096
 
@@ -569,7 +604,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.wait_until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_leaving_server, check_endless_answers, check_metrics, check_store_outage, check_stop, check_explain):
+            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_leaving_server, check_paused_server, check_endless_answers, check_metrics, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -196,6 +196,8 @@
         self.down_time = 0.3  # Seconds after a crash.
         self.crashes = 0
         self.is_leaving = False  # Stated in all responses, while the platform still lists it as ready.
+        self.retry_after = 1.5  # Seconds; of the behaviour "paused".
+        self.arrivals = []  # Time and request id, of the behaviour "paused".
         self.listener = None
         self.writers = set()
 
@@ -235,6 +237,10 @@
             own_headers = [("X-Request-Id", headers.get("x-request-id", "")), ("X-Response-Seal", "seal-" + self.identity)]
             if self.is_leaving:
                 own_headers.append(("Server-Leaving", "1"))
+            if self.behaviour == "paused":
+                self.arrivals.append((asyncio.get_running_loop().time(), headers.get("x-request-id", "")))
+                writer.write(response(503, headers=own_headers + [("X-Not-Executed", "1"), ("Retry-After", str(self.retry_after))]))
+                continue
             if self.behaviour == "full":
                 writer.write(response(503, headers=own_headers + [("X-Not-Executed", "1")]))
                 continue
