Keep unexpected exceptions from ending more than their task

Reported from similar systems: one unexpected error took a process down. Here an exception in a request's coroutine was swallowed without a log line, and its connection stayed open without an answer; one in a loop of the process (accepting callers, messages of instances, the store) ended that loop for good; one in a handler ended the process.

New checks in entry_test, all passing on the code before too: 120 bookings around a SIGTERM are answered, a slow stream is forwarded in full, a stalled one that sends a byte now and then ends at its time limit.

--- a/apps/borageslip-entry/Main.cpp
+++ b/apps/borageslip-entry/Main.cpp
@@ -99,7 +99,13 @@
         return CannotListen;
     }
     const SignalHandler signals(context, instance, settingsPath);
-    context.run();
+    while (!context.stopped()) {
+        try {
+            context.run();
+        } catch (...) {
+            borageslip::logUnexpected("event loop", std::current_exception());
+        }
+    }
     // Requests still open when the grace period ends refer to the instance, so exit without running destructors.
     std::quick_exit(Success);
 }
--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -33,6 +33,7 @@
 #include "net/ConnectionPool.h"
 #include "net/ServerConnection.h"
 #include "net/SocketOptions.h"
+#include "net/SpawnTask.h"
 #include "peers/CoordinationHost.h"
 #include "peers/Member.h"
 #include "peers/PeerLink.h"
--- a/modules/borageslip_traffic/caller/CallerListener.cpp
+++ b/modules/borageslip_traffic/caller/CallerListener.cpp
@@ -1,10 +1,10 @@
 #include "CallerListener.h"
 
+#include "../net/SpawnTask.h"
+
 #include <borageslip_core/logging/Log.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -50,8 +50,7 @@
 {
     if (auto opened = openAcceptor(m_acceptor, endpoint); !isOk(opened))
         return opened;
-    asio::co_spawn(
-        m_engine.executor(), [this] { return acceptLoop(); }, asio::detached);
+    spawnTask(m_engine.executor(), "accept callers", [this] { return acceptLoop(); });
     return ok();
 }
 
--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -1,6 +1,7 @@
 #include "CallerSession.h"
 
 #include "../net/SocketOptions.h"
+#include "../net/SpawnTask.h"
 
 #include <borageslip_core/logging/Log.h>
 
@@ -90,9 +91,15 @@
 
 asio::awaitable<void> CallerSession::serve()
 {
-    bool isKept = !m_isDisconnected;
-    while (isKept)
-        isKept = co_await serveRequest();
+    try {
+        bool isKept = !m_isDisconnected;
+        while (isKept)
+            isKept = co_await serveRequest();
+    } catch (...) {
+        // Only this connection ends. The caller gets no answer, since its request may have run.
+        logUnexpected("serve a caller", std::current_exception());
+        m_exchange.reset();
+    }
     m_isDisconnected = true;
     boost::system::error_code ignored;
     m_socket.close(ignored);
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -1,11 +1,11 @@
 #include "PeerLink.h"
 
+#include "../net/SpawnTask.h"
+
 #include <borageslip_core/identity/Hash.h>
 #include <borageslip_core/logging/Log.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <tuple>
@@ -67,12 +67,9 @@
         m_socket.non_blocking(true, failure);
     if (failure)
         return Error { ErrorKind::InvalidSettings, "cannot bind the peer address: " + failure.message() };
-    asio::co_spawn(
-        m_engine.executor(), [this] { return receiveAll(); }, asio::detached);
-    asio::co_spawn(
-        m_engine.executor(), [this] { return reportPeriodically(); }, asio::detached);
-    asio::co_spawn(
-        m_engine.executor(), [this] { return pollCoordination(); }, asio::detached);
+    spawnTask(m_engine.executor(), "receive peer messages", [this] { return receiveAll(); });
+    spawnTask(m_engine.executor(), "send peer reports", [this] { return reportPeriodically(); });
+    spawnTask(m_engine.executor(), "poll coordination", [this] { return pollCoordination(); });
     return ok();
 }
 
--- a/modules/borageslip_traffic/quarantine/CrashDetector.cpp
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -1,10 +1,11 @@
 #include "CrashDetector.h"
 
+#include "../net/SpawnTask.h"
+
 #include <borageslip_core/logging/Log.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -41,8 +42,11 @@
         own->suspects.push_back(std::move(suspect));
     if (isFirst) {
         own->ended.expires_at(asio::steady_timer::time_point::max());
-        asio::co_spawn(
-            m_executor, [this, server, own] { return check(server, own); }, asio::detached);
+        asio::co_spawn(m_executor, check(server, own), [this, server, own](const std::exception_ptr& failure) {
+            if (failure)
+                logUnexpected("check a server", failure);
+            endCheck(*server, *own);
+        });
     }
     boost::system::error_code ignored;
     co_await own->ended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -63,10 +67,14 @@
     co_await socket->async_connect(server->pool().endpoint(), asio::redirect_error(asio::use_awaitable, failure));
     timer.cancel();
     running->hasCrashed = failure == asio::error::connection_refused;
-    m_checks.erase(server->hash());
-    if (running->hasCrashed)
-        report(*server, *running);
-    running->ended.cancel();
+}
+
+void CrashDetector::endCheck(const BackendServer& server, Check& ended)
+{
+    m_checks.erase(server.hash());
+    if (ended.hasCrashed)
+        report(server, ended);
+    ended.ended.cancel();
 }
 
 bool CrashDetector::mayReport()
--- a/modules/borageslip_traffic/quarantine/CrashDetector.h
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.h
@@ -44,6 +44,7 @@
     };
 
     boost::asio::awaitable<void> check(BackendServerPtr, std::shared_ptr<Check>);
+    void endCheck(const BackendServer&, Check&);
     void report(const BackendServer&, Check&);
     bool mayReport();
 
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -446,6 +446,22 @@
     check("the server gets requests again after it has recovered", recovered_runs > 20, recovered_runs)
 
 
+async def check_slow_streams(fleet):
+    """Guards against cutting a stream that is slow but sound, and against a stalled one that never ends."""
+    fleet.set_behaviour("sound")
+    for server in fleet.servers:
+        server.event_delay = 0.35
+    answer = await fleet.entry.ask("/once/stream/a", "POST", body=b"x", deadline=5000)
+    check("a slow stream is forwarded in full", answer.is_complete and answer.body.count(b"piece") == 5, answer)
+    for server in fleet.servers:
+        server.event_delay = 0.02
+    fleet.set_behaviour("trickles")
+    started = time.monotonic()
+    answer = await fleet.entry.ask("/once/stream/a", "POST", body=b"x", deadline=5000)
+    check("a stalled stream that sends a byte now and then ends at its time limit", not (answer.status == 200 and answer.is_complete) and time.monotonic() - started < 2.5, f"{answer} after {time.monotonic() - started:.1f} s")
+    fleet.set_behaviour("sound")
+
+
 async def check_leaving_server(fleet):
     """Guards against requests to a server that said in a response that it is leaving while the store lists it as ready (DRAIN)."""
     fleet.set_behaviour("sound")
@@ -550,8 +566,21 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", fleet.entry.front)
     writer.write(request("/stream/stream/a", "POST", body=b"x"))
     head = await reader.readuntil(b"\r\n\r\n")
+    statuses = []
+
+    async def ask_during_stop(number):
+        try:
+            statuses.append((await fleet.entry.ask("/book/a", "POST", identity=f"stop-{number}", body=b"1")).status)
+        except ConnectionError:
+            statuses.append("refused connection")
+
+    # Some of these requests have just been accepted when the signal arrives.
+    asking = [asyncio.create_task(ask_during_stop(number)) for number in range(60)]
+    await asyncio.sleep(0.005)
     fleet.entry.process.send_signal(signal.SIGTERM)
-    await asyncio.sleep(0.1)
+    asking += [asyncio.create_task(ask_during_stop(60 + number)) for number in range(60)]
+    await asyncio.gather(*asking)
+    check("requests that arrive around a planned stop are answered", len(statuses) == 120 and set(statuses) <= {200, 503}, statuses)
     check("a stopping instance reports that it is not ready", not await fleet.entry.is_ready())
     body = await reader.read(1 << 20)
     while not body.endswith(b"0\r\n\r\n"):
@@ -604,7 +633,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.wait_until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_leaving_server, check_paused_server, check_endless_answers, check_metrics, check_store_outage, check_stop, check_explain):
+            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_slow_streams, check_leaving_server, check_paused_server, check_endless_answers, check_metrics, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -258,6 +258,9 @@
                 return
             if self.behaviour == "lost":
                 return
+            if self.behaviour == "trickles":
+                await self._trickle(own_headers, writer)
+                return
             if self.behaviour == "silent":
                 await reader.read()
                 return
@@ -303,6 +306,14 @@
         except ConnectionError:
             self.was_disconnected = True
 
+    async def _trickle(self, own_headers, writer):
+        """Sends the bytes of an event one by one and never ends it."""
+        writer.write("".join(["HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"] + [f"{name}: {value}\r\n" for name, value in own_headers] + ["\r\n"]).encode())
+        for _ in range(200):
+            writer.write(b"x")
+            await writer.drain()
+            await asyncio.sleep(0.1)
+
     def _stream_unframed(self, headers, own_headers, writer):
         """Writes a stream that has no framing and ends with its connection, within an event if it breaks."""
         first = int(headers.get("last-event-id", "0")) + 1
