Show quarantined prompt parts in platform-status

Operators could see how many combinations were quarantined, but not which without reading logs. A gauge names the model, the parts and the time left of each; platform-status lists them with the number of instances that know them. fleet_test checks both.

--- a/apps/borageslip/PlatformCommand.cpp
+++ b/apps/borageslip/PlatformCommand.cpp
@@ -21,7 +21,8 @@
         std::string failureDomain;
         std::optional<uint64_t> version {}; ///< Active configuration version; nullopt if unknown.
         double storeDataAge = 0; ///< Time since the instance last confirmed its store data, in seconds.
-        std::string failure; ///< Empty if the metrics could be read.
+        std::vector<std::string> quarantined {}; ///< Labels of its quarantined prompts.
+        std::string failure {}; ///< Empty if the metrics could be read.
     };
 
     /** Finds the value of a metric without labels in the Prometheus text format. */
@@ -35,9 +36,22 @@
         return std::nullopt;
     }
 
+    /** Label sets of a metric in the Prometheus text format. */
+    std::vector<std::string> findLabels(const std::string& text, const std::string& name)
+    {
+        std::vector<std::string> labels;
+        std::istringstream lines(text);
+        for (std::string line; std::getline(lines, line);) {
+            const auto end = line.rfind('}');
+            if (line.starts_with(name + "{") && end != std::string::npos)
+                labels.push_back(line.substr(name.size() + 1, end - name.size() - 1));
+        }
+        return labels;
+    }
+
     InstanceState makeInstanceState(const Member& member, const InstanceResponse& response)
     {
-        InstanceState state { member.name, member.failureDomain, {}, 0, {} };
+        InstanceState state { member.name, member.failureDomain };
         if (member.metricsAddress.port() == 0) {
             state.failure = "no metrics address registered";
             return state;
@@ -49,6 +63,7 @@
         if (const auto version = findMetric(response.body, "borageslip_entry_configuration_version"))
             state.version = static_cast<uint64_t>(*version);
         state.storeDataAge = findMetric(response.body, "borageslip_entry_knowledge_age_seconds").value_or(0);
+        state.quarantined = findLabels(response.body, "borageslip_entry_quarantine_seconds");
         return state;
     }
 
@@ -97,7 +112,10 @@
         const auto* stored = overview.configuration ? &*overview.configuration : nullptr;
         status.isInForceEverywhere = stored != nullptr;
         status.json["instances"] = nlohmann::json::array();
+        std::map<std::string, int> quarantined;
         for (const auto& state : queryMembers(overview.members)) {
+            for (const auto& labels : state.quarantined)
+                ++quarantined[labels];
             status.json["instances"].push_back(toJson(state));
             const bool isInForce = stored != nullptr && state.version.value_or(0) == stored->version();
             status.isInForceEverywhere &= isInForce;
@@ -107,6 +125,11 @@
             else
                 text << "version " << state.version.value_or(0) << ", keys and servers confirmed " << state.storeDataAge << " s ago\n";
         }
+        status.json["quarantined"] = nlohmann::json::array();
+        for (const auto& [labels, instances] : quarantined) {
+            status.json["quarantined"].push_back({ { "prompt", labels }, { "instances", instances } });
+            text << "quarantined prompt " << labels << " at " << instances << " instances\n";
+        }
     }
 
 }
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -109,6 +109,18 @@
         return family;
     }
 
+    MetricFamily quarantines(TrafficEngine& engine)
+    {
+        auto family = makeFamily("borageslip_entry_quarantine_seconds", "Time until the quarantine of a combination of prompt parts ends, unless a request with it arrives", MetricType::Gauge);
+        for (const auto& entry : engine.quarantine().quarantined()) {
+            ClientMetric metric;
+            metric.label = { { "model", entry.prompt.model }, { "parts", partsText(entry.prompt) } };
+            metric.gauge.value = std::chrono::duration<double>(entry.timeLeft).count();
+            family.metric.push_back(std::move(metric));
+        }
+        return family;
+    }
+
     /** Resident memory of this process in bytes; 0 if it cannot be read. */
     double residentBytes()
     {
@@ -176,6 +188,7 @@
         counter("borageslip_entry_server_crashes_total", "Crashes of backend servers with requests of this instance that they had not begun to answer", m_engine.crashDetector().crashCount()),
         counter("borageslip_entry_quarantine_rejections_total", "Requests rejected because of quarantined prompt parts", counts.quarantineRejections),
         gauge("borageslip_entry_quarantined_prompts", "Quarantined combinations of prompt parts", static_cast<double>(m_engine.quarantine().quarantined().size())),
+        quarantines(m_engine),
         servers(m_engine),
         gauge("borageslip_entry_waiting", "Requests that wait for a place at a backend server", static_cast<double>(m_engine.waitingCount() + m_peers.ownQueuedRequestCount())),
         gauge("borageslip_entry_queued_requests", "Requests of all instances in the service queues of this coordinator", static_cast<double>(m_peers.queuedRequestCount())),
--- a/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
@@ -7,6 +7,18 @@
 
 namespace borageslip {
 
+namespace {
+
+    std::string partText(uint64_t part)
+    {
+        constexpr int hexadecimal = 16;
+        std::array<char, 16> text {};
+        const auto end = std::to_chars(text.begin(), text.end(), part, hexadecimal).ptr;
+        return { text.begin(), end };
+    }
+
+}
+
 PromptFingerprint promptFingerprint(const RequestMetadata& metadata)
 {
     PromptFingerprint fingerprint { metadata.model, {} };
@@ -17,15 +29,19 @@
     return fingerprint;
 }
 
+std::string partsText(const PromptFingerprint& fingerprint)
+{
+    std::string text;
+    for (const auto part : fingerprint.parts)
+        text.append(text.empty() ? "" : ",").append(partText(part));
+    return text;
+}
+
 nlohmann::json fingerprintJson(const PromptFingerprint& fingerprint)
 {
-    constexpr int hexadecimal = 16;
     auto parts = nlohmann::json::array();
-    for (const auto part : fingerprint.parts) {
-        std::array<char, 16> text {};
-        const auto end = std::to_chars(text.begin(), text.end(), part, hexadecimal).ptr;
-        parts.push_back(std::string(text.begin(), end));
-    }
+    for (const auto part : fingerprint.parts)
+        parts.push_back(partText(part));
     return { { "model", fingerprint.model }, { "parts", std::move(parts) } };
 }
 
--- a/modules/borageslip_traffic/quarantine/PromptFingerprint.h
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.h
@@ -22,7 +22,10 @@
 /** Returns the fingerprint of a request's prompt; without parts if its prompt has no shared part. */
 PromptFingerprint promptFingerprint(const RequestMetadata&);
 
-/** For log lines: the parts in hexadecimal, as callers send them. */
+/** The parts in hexadecimal, as callers send them, separated by commas. */
+std::string partsText(const PromptFingerprint&);
+
+/** For log lines. */
 nlohmann::json fingerprintJson(const PromptFingerprint&);
 
 }
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -345,31 +345,32 @@
     check("no invariant was violated", values["borageslip_entry_invariant_violations_total"] == 0, values)
 
 
-async def run_tool(fleet, *arguments):
-    tool = str(pathlib.Path(fleet.entry.binary).parent / "borageslip")
+async def run_tool(binary, *arguments):
+    """Runs the operators' client that lies beside the program under test."""
+    tool = str(pathlib.Path(binary).parent / "borageslip")
     process = await asyncio.create_subprocess_exec(tool, *arguments, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
     output = (await asyncio.wait_for(process.communicate(), 10))[0].decode()
     return process.returncode, output
 
 
 async def check_operator_commands(fleet):
-    code, output = await run_tool(fleet, "platform-status", "--store", fleet.store.address)
+    code, output = await run_tool(fleet.entry.binary, "platform-status", "--store", fleet.store.address)
     check("platform-status shows that the configuration is in force", code == 0 and "in force  entry-1" in output and "service pool: 3 ready" in output, output)
     fleet.store.put("servers/broken", b"{")
-    code, output = await run_tool(fleet, "--json", "platform-status", "--store", fleet.store.address)
+    code, output = await run_tool(fleet.entry.binary, "--json", "platform-status", "--store", fleet.store.address)
     check("platform-status lists an entry that cannot be parsed", "servers/broken" in [row["key"] for row in json.loads(output)["unusable"]], output)
     fleet.store.remove("servers/broken")
-    code, output = await run_tool(fleet, "platform-status", "--store", "127.0.0.1:1")
+    code, output = await run_tool(fleet.entry.binary, "platform-status", "--store", "127.0.0.1:1")
     check("platform-status reports that the store cannot be reached", code == 4 and "store-unavailable" in output, output)
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "configuration.json"
         path.write_text(json.dumps(configuration(8)))
-        code, output = await run_tool(fleet, "platform-check", "configuration", str(path))
+        code, output = await run_tool(fleet.entry.binary, "platform-check", "configuration", str(path))
         check("platform-check accepts a valid configuration", code == 0, output)
         path.write_text(json.dumps(configuration(8, backends=[])))
-        code, output = await run_tool(fleet, "platform-check", "configuration", str(path))
+        code, output = await run_tool(fleet.entry.binary, "platform-check", "configuration", str(path))
         check("platform-check reports the problem of an invalid configuration", code == 1 and "unknown service" in output, output)
-        code, output = await run_tool(fleet, "platform-check", "settings", str(fleet.entry.path))
+        code, output = await run_tool(fleet.entry.binary, "platform-check", "settings", str(fleet.entry.path))
         check("platform-check accepts the settings of the running instance", code == 0, output)
 
 
--- a/tests/platform/fleet_test.py
+++ b/tests/platform/fleet_test.py
@@ -12,7 +12,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, failures, read_answer, request  # noqa: E402
+from entry_test import Entry, check, failures, read_answer, request, run_tool  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 CHANGE_BOUND = 3  # Seconds; the users' limit for this kind of site.
@@ -114,6 +114,8 @@
     finally:
         newcomer.process.kill()
         await newcomer.process.wait()
+    _, output = await run_tool(entries[0].binary, "platform-status", "--store", store.address)
+    check("platform-status shows the quarantined part", 'quarantined prompt model="m",parts="' in output and "dead" in output, output)
     lines = [line for entry in entries for line in entry.log_lines()]
     check("the log names the crashed servers, the suspected parts and the quarantined one", any(line["event"] == "server-crashed" and "dead" in line["suspects"][0]["parts"] for line in lines) and any(line["event"] == "prompt-quarantined" and "dead" in line["parts"] for line in lines))
     for server in servers:
