Let cleared prompt parts explain no crashes

A part that was cleared before no longer explains another one, and needs two more crashes to be quarantined itself. A test fails without this.

Also: waits for the end of a pause look for newly listed servers each 100 ms, and a quarantined request counts once.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -25,6 +25,7 @@
     constexpr int maxDenials = 4; ///< Consecutive reservation denials after which a request is queued.
     constexpr int prefixWaitDivisor = 3; ///< Of the latency objective; the longest wait for the server that has the prefix in its cache.
     constexpr uint64_t prefixTokensPerWait = 12; ///< Per millisecond of the wait. A server prefills some times as many, but also delays its other requests and evicts other prefixes.
+    constexpr Duration pauseCheckInterval = milliseconds(100); ///< While all known servers of a service want no requests.
     constexpr int maxUnknownServers = 3; ///< Granted servers that are not listed at this instance, after which a request is rejected.
     constexpr int maxUnreachableServers = 3; ///< Connection failures to backend servers after which a request fails.
     constexpr int maxMismatchedResponses = 2; ///< Responses to other requests that are discarded on one connection.
@@ -129,6 +130,8 @@
         if (result == AttemptResult::Lost && (!route().mayRunAgain() || m_mayHaveCrashedServer))
             break;
     }
+    if (m_lastError.kind == ErrorKind::PromptQuarantined)
+        ++m_engine.counts().quarantineRejections;
     co_await finish(m_lastError);
 }
 
@@ -139,7 +142,6 @@
     const auto timeLeft = m_engine.quarantine().quarantineOf(promptFingerprint(m_metadata));
     if (!timeLeft)
         return false;
-    ++m_engine.counts().quarantineRejections;
     m_lastError = { ErrorKind::PromptQuarantined, "backend servers have crashed on parts of this prompt" };
     m_lastError.retryAfter = toMilliseconds(*timeLeft);
     return true;
@@ -253,7 +255,8 @@
             m_expectedWait = toMilliseconds(pause);
             co_return Error { ErrorKind::Overloaded, "all backend servers of \"" + m_admitted.service + "\" have asked this instance to wait" };
         }
-        co_await m_wakeEvent.waitFor(pause);
+        // Another server may be listed in the meantime.
+        co_await m_wakeEvent.waitFor(std::min(pause, pauseCheckInterval));
     }
     co_return ok();
 }
--- a/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
@@ -15,6 +15,7 @@
     constexpr Duration countInterval = milliseconds(100); ///< Crashes closer together count once: several servers may fail for one other reason.
     constexpr int crashesOfCombination = 3; ///< Counted crashes after which a combination of parts is quarantined.
     constexpr int crashesOfSinglePart = 4; ///< The same for a single part, on which more sound requests may depend.
+    constexpr int extraCrashesOfCleared = 2; ///< Needed in addition for a part that was cleared before.
     constexpr int crashesOfCompanion = 2; ///< Counted crashes from which on a part can explain those of another one.
     constexpr Duration suspectLifetime = std::chrono::minutes(2); ///< After the last crash of the suspect.
     constexpr Duration quarantineTime = std::chrono::minutes(10); ///< After the last request with the parts.
@@ -58,13 +59,13 @@
 {
     const auto now = m_clock.now();
     const PartKey key { prompt.model, part };
-    m_cleared.erase(key);
+    const bool wasCleared = m_cleared.erase(key) > 0;
     if (!m_suspects.contains(key) && m_suspects.size() >= maxSuspects)
         dropOldestSuspect();
     const auto [found, isNew] = m_suspects.try_emplace(key);
     auto& suspect = found->second;
     if (isNew) {
-        suspect = { 1, now, now, now + suspectLifetime, server, false, prompt.parts };
+        suspect = { 1, now, now, now + suspectLifetime, server, false, wasCleared, prompt.parts };
         std::erase(suspect.companions, part);
         return;
     }
@@ -84,13 +85,13 @@
         const bool isSameModel = otherKey.first == key.first;
         const bool impliesPart = std::binary_search(other.companions.begin(), other.companions.end(), key.second);
         const bool isImplied = std::binary_search(suspect.companions.begin(), suspect.companions.end(), otherKey.second);
-        return isSameModel && other.crashes >= crashesOfCompanion && impliesPart && !isImplied;
+        return isSameModel && !other.wasCleared && other.crashes >= crashesOfCompanion && impliesPart && !isImplied;
     });
 }
 
 void PromptQuarantine::judge(const PartKey& key, const Suspect& suspect)
 {
-    const int needed = suspect.companions.empty() ? crashesOfSinglePart : crashesOfCombination;
+    const int needed = (suspect.companions.empty() ? crashesOfSinglePart : crashesOfCombination) + (suspect.wasCleared ? extraCrashesOfCleared : 0);
     if (suspect.crashes < needed || !suspect.isOnSeveralServers || isExplainedByCompanion(key, suspect))
         return;
     PromptFingerprint prompt { key.first, suspect.companions };
@@ -181,7 +182,7 @@
     const auto now = m_clock.now();
     for (const auto part : prompt.parts) {
         auto& suspect = m_suspects[{ prompt.model, part }];
-        suspect = { crashesOfSinglePart - 1, now, now, now + renewalTime, 0, true, prompt.parts };
+        suspect = { crashesOfSinglePart - 1, now, now, now + renewalTime, 0, true, false, prompt.parts };
         std::erase(suspect.companions, part);
     }
 }
--- a/modules/borageslip_traffic/quarantine/PromptQuarantine.h
+++ b/modules/borageslip_traffic/quarantine/PromptQuarantine.h
@@ -86,6 +86,7 @@
         TimePoint endsAt {}; ///< When it is forgotten.
         uint64_t firstServer = 0; ///< Hash of the server's id.
         bool isOnSeveralServers = false;
+        bool wasCleared = false; ///< Whether a response cleared it after earlier crashes.
         std::vector<uint64_t> companions {}; ///< Parts that were present in every suspected request with this part.
     };
 
--- a/tests/borageslip_traffic/PromptQuarantineTests.cpp
+++ b/tests/borageslip_traffic/PromptQuarantineTests.cpp
@@ -301,6 +301,22 @@
     }
 }
 
+// Guards against a part that sound requests share and that hides the one that crashes servers.
+TEST_CASE("a part that was cleared does not explain the crashes of another part", "[quarantine]")
+{
+    ManualClock clock;
+    PromptQuarantine quarantine(clock);
+    const auto tainted = prompt({ popular, subject, crashing });
+    for (uint64_t server = 1; server <= 4; ++server) {
+        quarantine.recordCrash(crashOf(server, { tainted }));
+        clock.advance(1s);
+        if (server <= 2)
+            quarantine.recordProgress(prompt({ popular, subject }), clock.now());
+    }
+    CHECK(quarantine.quarantineOf(tainted));
+    CHECK_FALSE(quarantine.quarantineOf(prompt({ popular, subject })));
+}
+
 TEST_CASE("a part that responses proceed on is no suspect", "[quarantine]")
 {
     ManualClock clock;
