Bound the messages about crashes by long prompts and model names

A prompt of over 32 shared parts among the suspects of a crash made the whole notice invalid at the other instances, and a model name of some kilobytes in a quarantine could make a report too long for a datagram. Found by reading; neither was seen. Long prompts are left out of the suspects, and a model name over 64 bytes is replaced by its hash. A test bounds a report with 16 quarantines.

--- a/modules/borageslip_traffic/peers/QuarantineMessages.cpp
+++ b/modules/borageslip_traffic/peers/QuarantineMessages.cpp
@@ -12,7 +12,7 @@
     using nlohmann::json;
 
     constexpr size_t maxRows = 32; ///< Of prompts in a message; more are invalid.
-    constexpr size_t maxParts = 32; ///< Of a prompt in a message; more are invalid.
+    constexpr size_t maxParts = 512; ///< Of a prompt in a message; more are invalid.
 
     Error malformed()
     {
--- a/modules/borageslip_traffic/quarantine/CrashDetector.cpp
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -38,7 +38,7 @@
     if (isFirst)
         running = std::make_shared<Check>(m_executor);
     const auto own = running;
-    if (own->suspects.size() < maxSuspectsOfCrash)
+    if (own->suspects.size() < maxSuspectsOfCrash && suspect.parts.size() <= maxPartsOfSuspect)
         own->suspects.push_back(std::move(suspect));
     if (isFirst) {
         own->ended.expires_at(asio::steady_timer::time_point::max());
--- a/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
@@ -1,5 +1,7 @@
 #include "PromptFingerprint.h"
 
+#include <borageslip_core/identity/Hash.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -9,11 +11,13 @@
 
 namespace {
 
-    std::string partText(uint64_t part)
+    constexpr size_t maxModelBytes = 64;
+
+    std::string hexadecimalText(uint64_t number)
     {
         constexpr int hexadecimal = 16;
         std::array<char, 16> text {};
-        const auto end = std::to_chars(text.begin(), text.end(), part, hexadecimal).ptr;
+        const auto end = std::to_chars(text.begin(), text.end(), number, hexadecimal).ptr;
         return { text.begin(), end };
     }
 
@@ -21,7 +25,8 @@
 
 PromptFingerprint promptFingerprint(const RequestMetadata& metadata)
 {
-    PromptFingerprint fingerprint { metadata.model, {} };
+    const auto& model = metadata.model;
+    PromptFingerprint fingerprint { model.size() <= maxModelBytes ? model : hexadecimalText(hashBytes(model)), {} };
     for (size_t i = 0; i + 1 < metadata.promptParts.size(); ++i)
         fingerprint.parts.push_back(metadata.promptParts[i].id);
     std::sort(fingerprint.parts.begin(), fingerprint.parts.end());
@@ -33,7 +38,7 @@
 {
     std::string text;
     for (const auto part : fingerprint.parts)
-        text.append(text.empty() ? "" : ",").append(partText(part));
+        text.append(text.empty() ? "" : ",").append(hexadecimalText(part));
     return text;
 }
 
@@ -41,7 +46,7 @@
 {
     auto parts = nlohmann::json::array();
     for (const auto part : fingerprint.parts)
-        parts.push_back(partText(part));
+        parts.push_back(hexadecimalText(part));
     return { { "model", fingerprint.model }, { "parts", std::move(parts) } };
 }
 
--- a/modules/borageslip_traffic/quarantine/PromptFingerprint.h
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.h
@@ -13,12 +13,15 @@
 
     Parts are compared within one model only, because a part that one model cannot process may be harmless to another. */
 struct PromptFingerprint {
-    std::string model;
+    std::string model; ///< Its name, or a hash of a name that is too long for messages between instances.
     std::vector<uint64_t> parts; ///< Ids in ascending order, without duplicates.
 
     bool operator==(const PromptFingerprint&) const = default;
 };
 
+/** A prompt with more shared parts is not suspected, which bounds the size of messages between instances. */
+constexpr size_t maxPartsOfSuspect = 32;
+
 /** Returns the fingerprint of a request's prompt; without parts if its prompt has no shared part. */
 PromptFingerprint promptFingerprint(const RequestMetadata&);
 
--- a/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
@@ -23,7 +23,6 @@
     constexpr size_t maxSuspects = 512;
     constexpr size_t maxCleared = 512;
     constexpr size_t maxQuarantines = 16;
-    constexpr size_t maxPartsOfPrompt = 32;
 
     bool containsAll(std::span<const uint64_t> sorted, std::span<const uint64_t> required)
     {
@@ -41,7 +40,7 @@
 void PromptQuarantine::recordCrash(const ServerCrash& crash)
 {
     for (const auto& prompt : crash.suspects) {
-        if (prompt.parts.size() > maxPartsOfPrompt)
+        if (prompt.parts.size() > maxPartsOfSuspect)
             continue;
         for (const auto part : prompt.parts)
             recordSuspect(crash.server, prompt, part);
@@ -164,7 +163,7 @@
 {
     auto prompt = other.prompt;
     std::erase_if(prompt.parts, [&](uint64_t part) { return m_cleared.contains({ prompt.model, part }); });
-    const bool isValid = !prompt.parts.empty() && prompt.parts.size() <= maxPartsOfPrompt && std::is_sorted(prompt.parts.begin(), prompt.parts.end());
+    const bool isValid = !prompt.parts.empty() && prompt.parts.size() <= maxPartsOfSuspect && std::is_sorted(prompt.parts.begin(), prompt.parts.end());
     if (isValid && other.timeLeft > milliseconds(0))
         quarantine(std::move(prompt), m_clock.now() + std::min<Duration>(other.timeLeft, quarantineTime));
 }
--- a/tests/borageslip_traffic/PromptQuarantineTests.cpp
+++ b/tests/borageslip_traffic/PromptQuarantineTests.cpp
@@ -411,6 +411,35 @@
     CHECK_FALSE(other.hasSuspects());
 }
 
+// Guards against a long prompt or model name that makes the messages about all others too long.
+TEST_CASE("the fingerprint of a prompt is short enough for messages between instances", "[quarantine]")
+{
+    RequestMetadata metadata;
+    metadata.model = std::string(3000, 'm');
+    metadata.promptParts = { { 3, 1 }, { 1, 1 }, { 3, 1 }, { 9, 1 } };
+    const auto fingerprint = promptFingerprint(metadata);
+    CHECK(fingerprint.model.size() <= 64);
+    CHECK(fingerprint.parts == std::vector<uint64_t> { 1, 3 });
+    metadata.model = std::string(3000, 'n');
+    CHECK(promptFingerprint(metadata).model != fingerprint.model);
+
+    ManualClock clock;
+    PromptQuarantine quarantine(clock);
+    for (uint64_t i = 0; i < 40; ++i) {
+        std::vector<uint64_t> parts;
+        for (uint64_t part = 0; part < 30; ++part)
+            parts.push_back(UINT64_MAX - 100 * i - part);
+        for (uint64_t server = 1; server <= 3; ++server) {
+            quarantine.recordCrash(crashOf(server, { { std::string(64, 'm'), prompt(parts).parts } }));
+            clock.advance(200ms);
+        }
+    }
+    PeerReport report { "instance", 1, 2, true, {} };
+    report.quarantined = quarantine.quarantined();
+    CHECK(report.quarantined.size() == 16);
+    CHECK(encodePeerReport(report).size() < 8 * 1024);
+}
+
 TEST_CASE("messages about crashes keep their content", "[quarantine]")
 {
     const ServerCrashNotice crash { "instance", { 7, { prompt({ 1, 2 }), prompt({ 3 }) } } };
