Share the opening of sockets, and let one place say whether a server accepts requests

From a read-through; behaviour stays as it is. The crash detector opened a socket within a limit with a copy of the connection pool's code; both call ConnectionPool::openSocket.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -167,14 +167,13 @@
         state.bodyBegunAt = m_engine.clock().now();
     if (events < eventsOfProgress || std::exchange(state.hasProgressed, true))
         return;
-    if (m_engine.quarantine().hasSuspects())
-        m_engine.recordPromptProgress(promptFingerprint(m_metadata), state.bodyBegunAt);
+    m_engine.recordPromptProgress(m_metadata, state.bodyBegunAt);
 }
 
 void Exchange::recordCompletion(const AttemptState& state)
 {
-    if (!state.hasProgressed && state.bodyBegunAt != TimePoint() && m_engine.quarantine().hasSuspects())
-        m_engine.recordPromptProgress(promptFingerprint(m_metadata), state.bodyBegunAt);
+    if (!state.hasProgressed && state.bodyBegunAt != TimePoint())
+        m_engine.recordPromptProgress(m_metadata, state.bodyBegunAt);
 }
 
 int64_t Exchange::promptTokens() const
@@ -363,7 +362,7 @@
             if (server)
                 ticket->useWithoutGrant(server->hash());
         }
-        const bool isUsable = server && server->isInService() && !server->isPaused(m_engine.clock().now());
+        const bool isUsable = server && server->acceptsRequests();
         if (isUsable && m_stopReason == StopReason::None) {
             recordWait(queuedAt);
             auto reservation = std::make_shared<detail::ServerReservation>(m_engine, server, 0, std::move(ticket));
@@ -398,7 +397,7 @@
     }
     if (m_stopReason != StopReason::None)
         co_return AttemptResult::Aborted;
-    if (!server->isInService() || server->isPaused(m_engine.clock().now())) {
+    if (!server->acceptsRequests()) {
         m_lastError = { ErrorKind::EngineUnreachable, "the backend server was taken out of service while the connection was being opened" };
         co_return AttemptResult::NotSent;
     }
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -71,9 +71,11 @@
     m_crashDetector.setListener(listener);
 }
 
-void TrafficEngine::recordPromptProgress(const PromptFingerprint& prompt, TimePoint begunAt)
+void TrafficEngine::recordPromptProgress(const RequestMetadata& metadata, TimePoint begunAt)
 {
-    const auto cleared = m_quarantine.recordProgress(prompt, begunAt);
+    if (!m_quarantine.hasSuspects())
+        return;
+    const auto cleared = m_quarantine.recordProgress(promptFingerprint(metadata), begunAt);
     if (!cleared.parts.empty() && m_promptHealthListener != nullptr)
         m_promptHealthListener->partsCleared(cleared);
 }
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -155,7 +155,7 @@
     void setPromptHealthListener(PromptHealthListener*);
 
     /** To be called when the response to a prompt proceeds. @param begunAt when its body began. */
-    void recordPromptProgress(const PromptFingerprint&, TimePoint begunAt);
+    void recordPromptProgress(const RequestMetadata&, TimePoint begunAt);
     const CallerProtocol& protocol() const { return m_protocol; }
     const Clock& clock() const { return m_clock; }
     const boost::asio::any_io_executor& executor() const { return m_executor; }
--- a/modules/borageslip_traffic/net/ConnectionPool.cpp
+++ b/modules/borageslip_traffic/net/ConnectionPool.cpp
@@ -46,10 +46,9 @@
     return nullptr;
 }
 
-asio::awaitable<Result<ServerConnectionPtr>> ConnectionPool::connect(asio::any_io_executor executor, tcp::endpoint endpoint, Duration limit)
+asio::awaitable<boost::system::error_code> ConnectionPool::openSocket(ServerConnectionPtr connection, tcp::endpoint endpoint, Duration limit)
 {
-    auto connection = std::make_shared<ServerConnection>(executor);
-    asio::steady_timer timer(executor);
+    asio::steady_timer timer(connection->socket.get_executor());
     timer.expires_after(limit);
     timer.async_wait([connection](boost::system::error_code failure) {
         if (!failure)
@@ -60,6 +59,13 @@
     timer.cancel();
     if (!failure && !connection->socket.is_open())
         failure = asio::error::timed_out;
+    co_return failure;
+}
+
+asio::awaitable<Result<ServerConnectionPtr>> ConnectionPool::connect(asio::any_io_executor executor, tcp::endpoint endpoint, Duration limit)
+{
+    auto connection = std::make_shared<ServerConnection>(executor);
+    const auto failure = co_await openSocket(connection, endpoint, limit);
     if (failure)
         co_return Error { ErrorKind::ServiceUnreachable, failure.message() };
     configureSocket(connection->socket, PeerKind::Server);
--- a/modules/borageslip_traffic/net/ConnectionPool.h
+++ b/modules/borageslip_traffic/net/ConnectionPool.h
@@ -22,6 +22,9 @@
     /** Removes the most recently used open connection from the pool and returns it, or null. */
     ServerConnectionPtr takeIdle();
 
+    /** Opens the connection's socket within the limit, after which it is closed. Returns why it could not be opened. */
+    static boost::asio::awaitable<boost::system::error_code> openSocket(ServerConnectionPtr, boost::asio::ip::tcp::endpoint, Duration limit);
+
     /** Opens a connection. Errors: ServiceUnreachable if connecting failed or took longer than the limit. */
     static boost::asio::awaitable<Result<ServerConnectionPtr>> connect(boost::asio::any_io_executor, boost::asio::ip::tcp::endpoint, Duration limit);
 
--- a/modules/borageslip_traffic/quarantine/CrashDetector.cpp
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -55,17 +55,8 @@
 
 asio::awaitable<void> CrashDetector::check(BackendServerPtr server, std::shared_ptr<Check> running)
 {
-    auto socket = std::make_shared<asio::ip::tcp::socket>(m_executor);
-    asio::steady_timer timer(m_executor);
-    timer.expires_after(connectLimit);
-    timer.async_wait([socket](boost::system::error_code failure) {
-        boost::system::error_code ignored;
-        if (!failure)
-            socket->close(ignored);
-    });
-    boost::system::error_code failure;
-    co_await socket->async_connect(server->pool().endpoint(), asio::redirect_error(asio::use_awaitable, failure));
-    timer.cancel();
+    auto connection = std::make_shared<ServerConnection>(m_executor);
+    const auto failure = co_await ConnectionPool::openSocket(connection, server->pool().endpoint(), connectLimit);
     running->hasCrashed = failure == asio::error::connection_refused;
 }
 
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -47,6 +47,9 @@
     /** Records that it wants no request of this instance for some time. */
     void pauseFor(std::chrono::milliseconds time) { m_pausedUntil = std::max(m_pausedUntil, m_clock.now() + time); }
     bool isPaused(TimePoint now) const { return now < m_pausedUntil; }
+
+    /** Whether this instance may send a request to it now. */
+    bool acceptsRequests() const { return isInService() && !isPaused(m_clock.now()); }
     TimePoint pausedUntil() const { return m_pausedUntil; }
 
     /** Takes over what an earlier listing of the same incarnation has said of itself. */
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -50,6 +50,12 @@
     ServerHealth& health(const std::string& service) { return m_health[service]; }
 
 private:
+    /** A removed server that has said of itself that it wants no requests. */
+    struct RemovedServer {
+        BackendServerPtr server;
+        TimePoint removedAt {};
+    };
+
     void add(ServerDescription);
     void removeExpired();
     void forgetRemoved();
@@ -61,12 +67,6 @@
     std::map<std::string, std::vector<BackendServerPtr>, std::less<>> m_byService;
     std::unordered_map<uint64_t, BackendServerPtr> m_byHash;
     std::map<std::string, ServerHealth, std::less<>> m_health;
-    /** A removed server that has said of itself that it wants no requests. */
-    struct RemovedServer {
-        BackendServerPtr server;
-        TimePoint removedAt {};
-    };
-
     std::map<std::string, RemovedServer, std::less<>> m_removed; ///< By id; the platform may list them again.
     std::map<std::string, TimePoint, std::less<>> m_removalTimes; ///< Due times of scheduled removals, by server id.
 };
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -171,6 +171,13 @@
 }
 
 
+def stream_head(fields, is_chunked=False):
+    """Returns the head of a response with an event stream, which ends with its connection unless it is chunked."""
+    framing = [("Transfer-Encoding", "chunked")] if is_chunked else []
+    lines = "".join(f"{name}: {value}\r\n" for name, value in [("Content-Type", "text/event-stream"), *framing, *fields])
+    return f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode()
+
+
 def prompt_parts(headers):
     return [entry.split(":")[0] for entry in headers.get("x-prompt-prefix", "").split(",")]
 
@@ -246,7 +253,7 @@
                 continue
             self.runs.append((line, headers, body))
             if self.crashing_part and self.crashing_part in prompt_parts(headers)[:-1]:
-                writer.write("".join(["HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"] + [f"{name}: {value}\r\n" for name, value in own_headers] + ["\r\n"]).encode())
+                writer.write(stream_head(own_headers, is_chunked=True))
                 await writer.drain()
                 await asyncio.sleep(0.01)
                 self.crash()
@@ -308,7 +315,7 @@
 
     async def _trickle(self, own_headers, writer):
         """Sends the bytes of an event one by one and never ends it."""
-        writer.write("".join(["HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"] + [f"{name}: {value}\r\n" for name, value in own_headers] + ["\r\n"]).encode())
+        writer.write(stream_head(own_headers))
         for _ in range(200):
             writer.write(b"x")
             await writer.drain()
@@ -320,11 +327,11 @@
         events = "".join(f"id: {number}\ndata: piece {number}\n\n" for number in range(first, self.event_count + 1))
         if self.behaviour == "unframed-stream-breaks" and first < 3:
             events = events[: events.index("piece 3")]
-        writer.write(("".join(["HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"] + [f"{name}: {value}\r\n" for name, value in own_headers] + ["\r\n"]) + events).encode())
+        writer.write(stream_head(own_headers) + events.encode())
 
     async def _stream(self, headers, own_headers, writer):
         """Streams the events. Returns whether the connection can be kept open."""
-        writer.write("".join(["HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"] + [f"{name}: {value}\r\n" for name, value in own_headers] + ["\r\n"]).encode())
+        writer.write(stream_head(own_headers, is_chunked=True))
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, self.event_count + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
