Read the configuration from further sources when the regular poll does not bring it in time

Callers saw 401, 403 or 404 for a key or route that a version acknowledged over 2 s before had added (CONFIG). Cause: an instance asked one source at a time, so the interval of each hop and the patience with a silent source added up: 2.9 s with one frozen reader, 4.6 s with two (docs/incidents/0007). Change: an instance that reads a new version from the store tells all others, and every report names the version in force. Who hears a newer one polls its source at once if that source has it, and otherwise reads it from the instances that have it. Knowledge older than the allowed delay less a quarter (0.5 s at least) is confirmed by hedged reads: the next source is asked after 0.1 s without an answer. A refusal by an unconfirmed configuration waits for the confirmation and becomes 503, not run, if there is none. Versions and revisions only grow, whichever answer comes last.

--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -10,6 +10,7 @@
 
 #include "caller/CallerListener.h"
 #include "caller/CallerSession.h"
+#include "configuration/ConfigurationRefresh.h"
 #include "configuration/Route.h"
 #include "configuration/TrafficConfiguration.h"
 #include "engine/Exchange.h"
--- /dev/null
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
@@ -0,0 +1,146 @@
+#include "ConfigurationRefresh.h"
+
+#include <borageslip_core/identity/Hash.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace borageslip {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr Duration minReadTime = milliseconds(500); ///< Kept of the allowed delay for hedged reads.
+    constexpr int readTimeDivisor = 4; ///< Of the allowed delay; the part kept for hedged reads.
+    constexpr Duration hedgeDelay = milliseconds(100); ///< Longer than nearly all answers take; a processor share may pause for as long.
+    constexpr Duration pollGrace = milliseconds(150); ///< For the regular poll to bring an announced version.
+    constexpr Duration spreadPerInstance = milliseconds(1);
+    constexpr size_t maxOutstanding = 6;
+    constexpr size_t maxReadsPerRound = 6;
+    constexpr Duration minRoundPause = milliseconds(200);
+    constexpr int maxRoundPauseDoublings = 4;
+    constexpr size_t maxAnnouncers = 1024;
+
+    uint64_t hashOf(const boost::asio::ip::tcp::endpoint& endpoint)
+    {
+        std::ostringstream text;
+        text << endpoint;
+        return hashBytes(text.str());
+    }
+
+    bool contains(std::span<const StoreSource> sources, const StoreSource& source)
+    {
+        return std::find(sources.begin(), sources.end(), source) != sources.end();
+    }
+
+}
+
+ConfigurationRefresh::ConfigurationRefresh(std::string_view ownName, Duration maxDelay)
+    : m_ownHash(hashBytes(ownName))
+    , m_maxAge(maxDelay - std::max(minReadTime, maxDelay / readTimeDivisor))
+{
+}
+
+Duration ConfigurationRefresh::spread(size_t instanceCount)
+{
+    return spreadPerInstance * instanceCount;
+}
+
+void ConfigurationRefresh::recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now)
+{
+    if (m_announcers.size() >= maxAnnouncers && !m_announcers.contains(instance))
+        m_announcers.clear();
+    m_announcers[instance] = version;
+    if (version <= m_newestAnnounced)
+        return;
+    if (version > versionInForce) {
+        m_announcedAt = now;
+        m_asked.clear();
+        m_failedRounds = 0;
+    }
+    m_newestAnnounced = version;
+}
+
+std::vector<StoreSource> ConfigurationRefresh::candidates(const ConfigurationKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const
+{
+    std::vector<std::pair<uint64_t, StoreSource>> announcers;
+    for (const auto& [instance, version] : m_announcers) {
+        if (version > knowledge.version && StoreSource(instance) != polled)
+            announcers.emplace_back(hashPair(m_ownHash, hashOf(instance)), instance);
+    }
+    std::sort(announcers.begin(), announcers.end());
+    std::vector<StoreSource> sources;
+    for (const auto& [score, instance] : announcers)
+        sources.push_back(instance);
+    for (const auto& source : ranked) {
+        if (source && source != polled && !contains(sources, source))
+            sources.push_back(source);
+    }
+    // A call of the store costs more than one of an instance.
+    const bool isStoreSecond = m_isValueOmitted || isOutdated(knowledge, now) || announcers.size() < 2;
+    const auto position = std::min<size_t>(sources.size(), isStoreSecond ? 1 : 2);
+    sources.insert(sources.begin() + static_cast<std::ptrdiff_t>(position), std::nullopt);
+    if (polled)
+        sources.push_back(polled);
+    return sources;
+}
+
+TimePoint ConfigurationRefresh::dueAt(const ConfigurationKnowledge& knowledge, size_t instanceCount) const
+{
+    const auto outdatedAt = knowledge.confirmedAt + m_maxAge;
+    if (!isBehind(knowledge))
+        return outdatedAt;
+    return std::min(outdatedAt, m_announcedAt + pollGrace + spread(instanceCount));
+}
+
+void ConfigurationRefresh::endRound(TimePoint now)
+{
+    m_asked.clear();
+    m_isValueOmitted = false;
+    m_nextReadAt = now + minRoundPause * (1 << std::min(m_failedRounds, maxRoundPauseDoublings));
+    ++m_failedRounds;
+}
+
+std::optional<ConfigurationRead> ConfigurationRefresh::next(const ConfigurationKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, size_t instanceCount, TimePoint now)
+{
+    if (!isBehind(knowledge) && !isOutdated(knowledge, now)) {
+        m_asked.clear();
+        m_failedRounds = 0;
+        m_isValueOmitted = false;
+        return std::nullopt;
+    }
+    if (now < dueAt(knowledge, instanceCount) || now < m_nextReadAt || m_outstanding >= maxOutstanding)
+        return std::nullopt;
+    const auto sources = candidates(knowledge, ranked, polled, now);
+    const auto source = std::find_if(sources.begin(), sources.end(), [this](const StoreSource& candidate) { return !contains(m_asked, candidate); });
+    if (source == sources.end() || m_asked.size() >= maxReadsPerRound) {
+        endRound(now);
+        return std::nullopt;
+    }
+    const bool isFirst = m_asked.empty();
+    m_asked.push_back(*source);
+    ++m_outstanding;
+    m_nextReadAt = now + hedgeDelay;
+    return ConfigurationRead { *source, !isFirst };
+}
+
+void ConfigurationRefresh::recordResult(const StoreSource&, ConfigurationReadResult result, TimePoint now)
+{
+    --m_outstanding;
+    if (result == ConfigurationReadResult::Fresh)
+        return;
+    m_isValueOmitted |= result == ConfigurationReadResult::ValueOmitted;
+    // A failure that is known need not be waited for.
+    if (!m_asked.empty())
+        m_nextReadAt = std::min(m_nextReadAt, now);
+}
+
+TimePoint ConfigurationRefresh::nextCheck(const ConfigurationKnowledge& knowledge, size_t instanceCount, TimePoint now) const
+{
+    const auto due = std::max(dueAt(knowledge, instanceCount), m_nextReadAt);
+    // A result or an announcement comes before the time of the next read.
+    return m_outstanding >= maxOutstanding ? now + hedgeDelay : due;
+}
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <borageslip_core/time/Clock.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace borageslip {
+
+/** Address of the instance to read from; nothing for the store itself. */
+using StoreSource = std::optional<boost::asio::ip::tcp::endpoint>;
+
+/** What an instance knows of the configuration. */
+struct ConfigurationKnowledge {
+    uint64_t version = 0; ///< In force; 0 for none.
+    TimePoint confirmedAt {}; ///< When the version in force was the newest one in the store.
+};
+
+/** A read of the configuration from one source. */
+struct ConfigurationRead {
+    StoreSource source;
+    bool includesLargeValue = false; ///< Whether the source sends the configuration even if it is large.
+};
+
+/** How a read of the configuration ended. */
+enum class ConfigurationReadResult {
+    Fresh, ///< The source has answered with data that is fresh enough.
+    ValueOmitted, ///< The source has a newer configuration and left it out because it is large.
+    Failed, ///< No answer in time, an error, or data that is out of date.
+};
+
+/** Decides when an instance reads the configuration besides its regular polls, and from which sources.
+
+    A read is due when another instance has a newer version in force and the regular poll has not brought it, or when the
+    knowledge of the configuration is older than a part of the time within which changes must take effect. Reads are
+    hedged: while one has no answer, the next source is asked after a short time, so that the time until a change takes
+    effect depends neither on the silence of single sources nor on their number.
+
+    Does no I/O: time and state are passed in. Not thread-safe.
+    @see rankedStoreSources */
+class ConfigurationRefresh {
+public:
+    /** @param ownName spreads the reads of the instances over the sources.
+        @param maxDelay time within which a change must take effect. */
+    ConfigurationRefresh(std::string_view ownName, Duration maxDelay);
+
+    /** Age of the knowledge from which it has to be confirmed. */
+    Duration maxAge() const { return m_maxAge; }
+
+    /** Records that an instance has a version in force. */
+    void recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now);
+
+    /** The newest version that another instance has announced. */
+    uint64_t newestAnnounced() const { return m_newestAnnounced; }
+
+    /** The read that is due now, which counts as begun; nothing when none is due.
+        @param ranked sources in order of preference.
+        @param polled the source of the regular polls; asked last, since its answer is awaited already.
+        @param instanceCount delays the reads after an announcement, so that not all instances read at once. */
+    std::optional<ConfigurationRead> next(const ConfigurationKnowledge&, std::span<const StoreSource> ranked, const StoreSource& polled, size_t instanceCount, TimePoint now);
+
+    void recordResult(const StoreSource&, ConfigurationReadResult, TimePoint now);
+
+    /** Time of the next call of next(). */
+    TimePoint nextCheck(const ConfigurationKnowledge&, size_t instanceCount, TimePoint now) const;
+
+    /** Time over which the reads of all instances after an announcement are spread. */
+    static Duration spread(size_t instanceCount);
+
+private:
+    bool isBehind(const ConfigurationKnowledge& knowledge) const { return m_newestAnnounced > knowledge.version; }
+    bool isOutdated(const ConfigurationKnowledge& knowledge, TimePoint now) const { return now - knowledge.confirmedAt > m_maxAge; }
+    TimePoint dueAt(const ConfigurationKnowledge&, size_t instanceCount) const;
+    std::vector<StoreSource> candidates(const ConfigurationKnowledge&, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const;
+    void endRound(TimePoint now);
+
+    uint64_t m_ownHash;
+    Duration m_maxAge;
+    uint64_t m_newestAnnounced = 0;
+    TimePoint m_announcedAt {}; ///< When a version newer than the one in force was first announced.
+    std::map<boost::asio::ip::tcp::endpoint, uint64_t> m_announcers; ///< Versions that instances have in force.
+    std::vector<StoreSource> m_asked; ///< In the current round.
+    size_t m_outstanding = 0;
+    TimePoint m_nextReadAt {};
+    int m_failedRounds = 0;
+    bool m_isValueOmitted = false; ///< Whether an instance left out the configuration in the current round.
+};
+
+}
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -21,6 +21,8 @@
 
     using std::chrono::milliseconds;
 
+    constexpr milliseconds longestConfirmation { 1000 }; ///< For which a refusal may wait for the configuration to be confirmed.
+    constexpr int confirmationDivisor = 3; ///< Of the time that the caller waits; leaves time to serve the request.
     constexpr Duration connectLimit = milliseconds(250);
     constexpr int maxDenials = 4; ///< Consecutive reservation denials after which a request is queued.
     constexpr int prefixWaitDivisor = 3; ///< Of the latency objective; the longest wait for the server that has the prefix in its cache.
@@ -33,6 +35,12 @@
     constexpr size_t maxPartialEventBytes = 256 * 1024; ///< Of a stream event that is still arriving.
     constexpr size_t maxInlineRequestBytes = 4 * 1024; ///< A longer request is written concurrently with reading the response.
 
+    /** Whether a newer configuration might admit the request. */
+    bool isRefusedByConfiguration(const Result<AdmittedRequest>& admitted)
+    {
+        return !isOk(admitted) && (error(admitted).kind == ErrorKind::NotFound || error(admitted).kind == ErrorKind::Unauthenticated);
+    }
+
 }
 
 Exchange::Exchange(TrafficEngine& engine, ResponseSink& sink, HttpRequest request, TimePoint arrivedAt)
@@ -57,6 +65,8 @@
 {
     ++m_engine.counts().requests;
     auto admitted = m_engine.admit(m_request, m_metadata);
+    if (isRefusedByConfiguration(admitted) && !m_engine.isConfigurationFresh())
+        admitted = co_await admitWhenConfirmed();
     if (!isOk(admitted)) {
         co_await finish(error(admitted));
         co_return;
@@ -69,6 +79,26 @@
     m_engine.counts().durations.record(m_engine.clock().now() - m_arrivedAt);
 }
 
+asio::awaitable<Result<AdmittedRequest>> Exchange::admitWhenConfirmed()
+{
+    ++m_engine.counts().confirmations;
+    const auto limit = std::min(longestConfirmation, m_metadata.timeLeft.value_or(longestConfirmation) / confirmationDivisor);
+    const auto until = m_engine.clock().now() + limit;
+    const TrafficEngine::ConfirmationWaiter waiter(m_engine, m_wakeEvent);
+    while (m_stopReason == StopReason::None && !m_engine.isConfigurationFresh()) {
+        const auto left = until - m_engine.clock().now();
+        if (left <= Duration::zero())
+            break;
+        co_await m_wakeEvent.waitFor(left);
+    }
+    auto admitted = m_engine.admit(m_request, m_metadata);
+    if (isRefusedByConfiguration(admitted) && !m_engine.isConfigurationFresh()) {
+        ++m_engine.counts().confirmationsMissed;
+        co_return Error { ErrorKind::StoreUnavailable, "the configuration may be out of date: " + error(admitted).detail };
+    }
+    co_return admitted;
+}
+
 void Exchange::startDeadline()
 {
     m_deadlineTimer.expires_after(timeLeft());
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -75,6 +75,9 @@
         std::shared_ptr<bool> isWritten = std::make_shared<bool>(false);
     };
 
+    /** Admits the request once the configuration has been confirmed, so that no request is refused because this instance
+        has not learned of a change. Errors: also StoreUnavailable if it is not confirmed in time. */
+    boost::asio::awaitable<Result<AdmittedRequest>> admitWhenConfirmed();
     boost::asio::awaitable<void> serve();
     using ReservationPtr = std::shared_ptr<detail::ServerReservation>;
 
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -91,6 +91,27 @@
     logEvent(Severity::Info, "configuration-in-force", { { "version", m_configuration->version() }, { "routes", m_configuration->routes().size() }, { "keys", m_configuration->keyCount() } });
 }
 
+void TrafficEngine::confirmConfiguration(TimePoint at)
+{
+    m_confirmedAt = std::max(m_confirmedAt, at);
+    if (!isConfigurationFresh())
+        return;
+    for (auto* event : m_confirmationWaiters)
+        event->notify();
+}
+
+TrafficEngine::ConfirmationWaiter::ConfirmationWaiter(TrafficEngine& engine, AutoResetEvent& event)
+    : m_engine(engine)
+    , m_event(event)
+{
+    m_engine.m_confirmationWaiters.insert(&m_event);
+}
+
+TrafficEngine::ConfirmationWaiter::~ConfirmationWaiter()
+{
+    m_engine.m_confirmationWaiters.erase(&m_event);
+}
+
 bool TrafficEngine::canAcceptKeys() const
 {
     return !m_settings.keyLifetime || m_clock.now() - m_confirmedAt < *m_settings.keyLifetime;
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -6,6 +6,7 @@
 #include "../limits/PriorityReserve.h"
 #include "../limits/WaitQueue.h"
 #include "../metrics/TrafficCounts.h"
+#include "../net/AutoResetEvent.h"
 #include "../placement/ReservationBroker.h"
 #include "../placement/ServerChoice.h"
 #include "../protocol/CallerProtocol.h"
@@ -19,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace borageslip {
 
@@ -31,6 +33,8 @@
     ServerChoiceLimits choice;
     /** How long keys are accepted after the store last confirmed the configuration; absent: without limit. */
     std::optional<Duration> keyLifetime {};
+    /** Age of the configuration from which refusals by it have to be confirmed; absent: never. */
+    std::optional<Duration> maxConfigurationAge {};
 };
 
 /** A request that passed route lookup and authentication. */
@@ -65,13 +69,33 @@
     void refuseNewRequests() { m_refusesNewRequests = true; }
 
     /** Records that the active configuration was the newest one in the store at the given time. */
-    void confirmConfiguration(TimePoint at) { m_confirmedAt = std::max(m_confirmedAt, at); }
+    void confirmConfiguration(TimePoint at);
     const TrafficConfigurationPtr& configuration() const { return m_configuration; }
 
+    /** Version of the active configuration; 0 for none. */
+    uint64_t configurationVersion() const { return m_configuration ? m_configuration->version() : 0; }
+    TimePoint configurationConfirmedAt() const { return m_confirmedAt; }
+
+    /** Whether the active configuration is known to have been the newest one recently enough to refuse requests by it. */
+    bool isConfigurationFresh() const { return !m_settings.maxConfigurationAge || storeDataAge() <= *m_settings.maxConfigurationAge; }
+
+    /** Notifies an event when the configuration has been confirmed, for as long as this object exists. */
+    class ConfirmationWaiter {
+    public:
+        ConfirmationWaiter(TrafficEngine&, AutoResetEvent&);
+        ~ConfirmationWaiter();
+        ConfirmationWaiter(const ConfirmationWaiter&) = delete;
+        ConfirmationWaiter& operator=(const ConfirmationWaiter&) = delete;
+
+    private:
+        TrafficEngine& m_engine;
+        AutoResetEvent& m_event;
+    };
+
     /** Limits of the active configuration, or the defaults if there is none yet. */
     CallerLimits callerLimits() const { return m_configuration ? m_configuration->limits() : CallerLimits(); }
 
-    /** Time since the store last confirmed the configuration and the list of backend servers. */
+    /** Time since the store last confirmed the configuration. */
     Duration storeDataAge() const { return m_clock.now() - m_confirmedAt; }
 
     /** Sets the mean time at which the known loads of the other instances were measured. */
@@ -189,6 +213,7 @@
     TrafficSettings m_settings;
     TrafficConfigurationPtr m_configuration;
     TimePoint m_confirmedAt {};
+    std::set<AutoResetEvent*> m_confirmationWaiters;
     TimePoint m_loadTimestamp {};
     bool m_refusesNewRequests = false;
     ServerTable m_servers;
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -15,6 +15,8 @@
     uint64_t callersDisconnected = 0;
     uint64_t retries = 0;
     uint64_t retriesDenied = 0; ///< Retries that the fleet-wide retry budget did not allow.
+    uint64_t confirmations = 0; ///< Refusals that waited for the configuration to be confirmed.
+    uint64_t confirmationsMissed = 0; ///< Of these, the ones for which it was not confirmed in time.
     uint64_t quarantineRejections = 0; ///< Requests that were not sent because of quarantined prompt parts.
     uint64_t promptTokens = 0; ///< Of requests sent to backend servers.
     uint64_t promptTokensCached = 0; ///< The part of promptTokens that was expected in the prefix cache of the server.
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -185,6 +185,8 @@
         counter("borageslip_entry_prompt_tokens_cached_total", "Prompt tokens expected to be cached where they were sent", counts.promptTokensCached),
         counter("borageslip_entry_retries_total", "Sends after a failed one, within the shared budget", counts.retries),
         counter("borageslip_entry_retries_denied_total", "Repeats that the shared budget did not allow", counts.retriesDenied),
+        counter("borageslip_entry_confirmations_total", "Refusals that waited for the configuration to be confirmed", counts.confirmations),
+        counter("borageslip_entry_confirmations_missed_total", "Refusals for which the configuration was not confirmed in time", counts.confirmationsMissed),
         counter("borageslip_entry_server_crashes_total", "Crashes of backend servers with requests of this instance that they had not begun to answer", m_engine.crashDetector().crashCount()),
         counter("borageslip_entry_quarantine_rejections_total", "Requests rejected because of quarantined prompt parts", counts.quarantineRejections),
         gauge("borageslip_entry_quarantined_prompts", "Quarantined combinations of prompt parts", static_cast<double>(m_engine.quarantine().quarantined().size())),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -160,7 +160,7 @@
     return addresses;
 }
 
-std::vector<std::optional<asio::ip::tcp::endpoint>> PeerLink::storeSources(const Member& own) const
+std::vector<StoreSource> PeerLink::storeSources(const Member& own) const
 {
     const auto now = m_engine.clock().now();
     std::vector<ReaderCandidate> others;
@@ -171,7 +171,7 @@
         others.push_back({ name, listed.member.failureDomain, listed.member.linkCapacity });
         addresses.emplace_back(listed.member.peerAddress.address(), listed.member.peerAddress.port());
     }
-    std::vector<std::optional<asio::ip::tcp::endpoint>> sources;
+    std::vector<StoreSource> sources;
     for (const auto& source : rankedStoreSources({ own.name, own.failureDomain, own.linkCapacity }, others))
         sources.push_back(source ? std::optional(addresses[*source]) : std::nullopt);
     return sources;
@@ -204,7 +204,7 @@
         if constexpr (!std::is_same_v<Content, ReservationReply>)
             recordSender(content.sender);
         if constexpr (std::is_same_v<Content, PeerReport>)
-            receiveReport(std::move(content));
+            receiveReport(std::move(content), sender);
         else if constexpr (std::is_same_v<Content, ReservationMessage>)
             receiveReservationMessage(content, sender);
         else if constexpr (std::is_same_v<Content, ReservationReply>)
@@ -213,6 +213,8 @@
             m_engine.quarantine().recordCrash(content.crash);
         else if constexpr (std::is_same_v<Content, ClearedPartsNotice>)
             m_engine.quarantine().clear(content.cleared);
+        else if constexpr (std::is_same_v<Content, ConfigurationNotice>)
+            recordVersion(content.version, sender);
         else
             receiveCoordination(content, sender);
     },
@@ -238,8 +240,21 @@
     sendToAll(encodeClearedPartsNotice({ m_ownName, cleared }));
 }
 
-void PeerLink::receiveReport(PeerReport report)
+void PeerLink::announceConfiguration(uint64_t version)
 {
+    sendToAll(encodeConfigurationNotice({ m_ownName, version }));
+}
+
+void PeerLink::recordVersion(uint64_t version, const udp::endpoint& sender)
+{
+    // An instance serves its copy of the store's keys on the TCP port of the same number.
+    if (m_versionListener != nullptr && version != 0)
+        m_versionListener->versionAnnounced({ sender.address(), sender.port() }, version);
+}
+
+void PeerLink::receiveReport(PeerReport report, const udp::endpoint& sender)
+{
+    recordVersion(report.configurationVersion, sender);
     for (const auto& prompt : report.quarantined)
         m_engine.quarantine().adopt(prompt);
     const auto changes = m_reportTable.apply(std::move(report), m_engine.clock().now());
@@ -648,6 +663,7 @@
             report.outcomes.push_back({ server->hash(), outcomes.answers, outcomes.failures });
     }
     report.quarantined = m_engine.quarantine().quarantined();
+    report.configurationVersion = m_engine.configurationVersion();
     const auto bytes = encodePeerReport(report);
     for (const auto& [name, listed] : m_members)
         send(bytes, listed.member.peerAddress);
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../configuration/ConfigurationRefresh.h"
 #include "../engine/TrafficEngine.h"
 #include "../limits/ReservationWaitList.h"
 #include "../net/AutoResetEvent.h"
@@ -48,6 +49,19 @@
         messages end: the store may reject it, so that its lease expires while it serves callers. */
     void removeMember(std::string_view name);
 
+    /** Is told which configurations the other instances have in force. */
+    class VersionListener {
+    public:
+        virtual ~VersionListener() = default;
+        virtual void versionAnnounced(const boost::asio::ip::tcp::endpoint& instance, uint64_t version) = 0;
+    };
+
+    /** Sets who is told of versions; null for nobody. The listener must outlive the link. */
+    void setVersionListener(VersionListener* listener) { m_versionListener = listener; }
+
+    /** Tells all other instances that a configuration was read from the store. */
+    void announceConfiguration(uint64_t version);
+
     /** Sets whether callers may be directed to this instance; a change is reported at once. */
     void setAcceptsCallers(bool);
 
@@ -62,7 +76,7 @@
     /** Sources from which this instance reads the store, in order of preference; nothing stands for the store itself.
         @param own this instance, with its capacity and failure domain.
         @see rankedStoreSources */
-    std::vector<std::optional<boost::asio::ip::tcp::endpoint>> storeSources(const Member& own) const;
+    std::vector<StoreSource> storeSources(const Member& own) const;
 
     size_t livePeerCount() const { return m_reportTable.livePeerCount(m_engine.clock().now()); }
     Duration oldestReportAge() const { return m_reportTable.maxReportAge(m_engine.clock().now()); }
@@ -112,7 +126,8 @@
     void applyPeerUsage();
     Duration reportInterval() const;
     void receive(PeerMessage, const boost::asio::ip::udp::endpoint& sender);
-    void receiveReport(PeerReport);
+    void receiveReport(PeerReport, const boost::asio::ip::udp::endpoint& sender);
+    void recordVersion(uint64_t version, const boost::asio::ip::udp::endpoint& sender);
     void receiveReservationMessage(const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
     void receiveReservationReply(const ReservationReply&);
     template <typename Message>
@@ -174,6 +189,7 @@
     uint64_t m_incarnation;
     uint64_t m_sequence = 0;
     bool m_acceptsCallers = false;
+    VersionListener* m_versionListener = nullptr;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     PeerReportTable m_reportTable;
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -29,12 +29,11 @@
     for (const auto& row : report.outcomes)
         outcomes.push_back({ row.server, row.answers, row.failures });
     auto document = nlohmann::json::array({ formatVersion, report.sender, report.incarnation, report.sequence, report.acceptsCallers, std::move(usages), std::move(outcomes) });
-    if (report.quarantined.empty())
-        return nlohmann::json::to_cbor(document);
     auto quarantined = nlohmann::json::array();
     for (const auto& prompt : report.quarantined)
         quarantined.push_back(quarantineRow(prompt));
     document.push_back(std::move(quarantined));
+    document.push_back(report.configurationVersion);
     return nlohmann::json::to_cbor(document);
 }
 
@@ -69,7 +68,24 @@
     if (!isOk(quarantined))
         return error(quarantined);
     report.quarantined = value(std::move(quarantined));
+    if (document.size() == 8)
+        return report;
+    if (!document[8].is_number_unsigned())
+        return malformed;
+    report.configurationVersion = document[8];
     return report;
 }
 
+std::vector<uint8_t> encodeConfigurationNotice(const ConfigurationNotice& notice)
+{
+    return nlohmann::json::to_cbor(nlohmann::json::array({ configurationNoticeKind, notice.sender, notice.version }));
+}
+
+Result<ConfigurationNotice> configurationNoticeFrom(const nlohmann::json& document)
+{
+    if (document.size() != 3 || !document[1].is_string() || !document[2].is_number_unsigned())
+        return Error { ErrorKind::InvalidMessage, "malformed configuration notice" };
+    return ConfigurationNotice { document[1], document[2] };
+}
+
 }
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -5,6 +5,7 @@
 #include <borageslip_core/errors/Result.h>
 
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <span>
 #include <string>
 #include <vector>
@@ -39,10 +40,26 @@
     std::vector<ServerUsage> usages; ///< Of the backend servers at which the sender has requests.
     std::vector<ServerOutcomes> outcomes {}; ///< Totals of the backend servers at which requests have ended recently.
     std::vector<QuarantinedPrompt> quarantined {}; ///< As known to the sender.
+    uint64_t configurationVersion = 0; ///< Of the configuration in force at the sender; 0 for none.
 
     bool operator==(const PeerReport&) const = default;
 };
 
+/** Sent to all instances by one that has read a new configuration from the store. */
+struct ConfigurationNotice {
+    std::string sender;
+    uint64_t version = 0;
+
+    bool operator==(const ConfigurationNotice&) const = default;
+};
+
+constexpr int configurationNoticeKind = 9;
+
+std::vector<uint8_t> encodeConfigurationNotice(const ConfigurationNotice&);
+
+/** Decodes a CBOR array whose first element is configurationNoticeKind. Errors: InvalidMessage. */
+Result<ConfigurationNotice> configurationNoticeFrom(const nlohmann::json&);
+
 /** Encodes a report as a CBOR array. */
 std::vector<uint8_t> encodePeerReport(const PeerReport&);
 
--- a/modules/borageslip_traffic/peers/ReservationMessages.cpp
+++ b/modules/borageslip_traffic/peers/ReservationMessages.cpp
@@ -77,6 +77,8 @@
         return peerMessageFrom(serverCrashNoticeFrom(document));
     if (hasKind && document[0] == clearedPartsNoticeKind)
         return peerMessageFrom(clearedPartsNoticeFrom(document));
+    if (hasKind && document[0] == configurationNoticeKind)
+        return peerMessageFrom(configurationNoticeFrom(document));
     return peerMessageFrom(decodePeerReport(bytes));
 }
 
--- a/tests/platform/StoreCacheTests.cpp
+++ b/tests/platform/StoreCacheTests.cpp
@@ -51,14 +51,14 @@
     cache.apply({ "a", std::string("\0x", 2), 5 });
     cache.setAsOf(6);
     CHECK(respondFromCache(cache, std::nullopt, "/borageslip/kv-range?path_prefix=").status == 503);
-    const auto answer = respondFromCache(cache, 700ms, "/borageslip/kv-watch?path_prefix=&after=2&wait_ms=500");
+    const auto answer = respondFromCache(cache, CacheAges { 700ms, 200ms }, "/borageslip/kv-watch?path_prefix=&after=2&wait_ms=500");
     const auto document = nlohmann::json::parse(answer.body);
     CHECK(document["confirmed_age_ms"] == 700);
     CHECK(document["as_of"] == 6);
     CHECK(document["events"].size() == 1);
-    CHECK(respondFromCache(cache, 0ms, "/borageslip/kv-watch?path_prefix=&after=x").status == 400);
-    CHECK(respondFromCache(cache, 0ms, "/borageslip/kv-watch").status == 400);
-    CHECK(respondFromCache(cache, 0ms, "/borageslip/kv-txn").status == 404);
+    CHECK(respondFromCache(cache, CacheAges(), "/borageslip/kv-watch?path_prefix=&after=x").status == 400);
+    CHECK(respondFromCache(cache, CacheAges(), "/borageslip/kv-watch").status == 400);
+    CHECK(respondFromCache(cache, CacheAges(), "/borageslip/kv-txn").status == 404);
 }
 
 // Guards against one instance sending a large configuration to many others over its own link.
@@ -67,11 +67,13 @@
     StoreCache cache;
     cache.apply({ "op/config", std::string(40000, 'x'), 5 });
     cache.apply({ "servers/a", "x", 6 });
-    const auto answer = respondFromCache(cache, 0ms, "/borageslip/kv-watch?path_prefix=&after=0&wait_ms=0");
+    const auto answer = respondFromCache(cache, CacheAges(), "/borageslip/kv-watch?path_prefix=&after=0&wait_ms=0");
     CHECK(answer.body.size() < 400);
     CHECK(nlohmann::json::parse(answer.body)["events"][0]["omitted"] == true);
-    const auto full = nlohmann::json::parse(respondFromCache(cache, 0ms, "/borageslip/kv-range?path_prefix=op/config&large=1").body);
+    const auto full = nlohmann::json::parse(respondFromCache(cache, CacheAges { 700ms, 200ms }, "/borageslip/kv-range?path_prefix=op/config&large=1").body);
     CHECK(full["items"].size() == 1);
+    // The configuration may have been confirmed apart from the other keys.
+    CHECK(full["confirmed_age_ms"] == 200);
     CHECK(full["items"][0]["value"].get<std::string>().size() > 40000);
 }
 
--- a/tests/platform/fleet_test.py
+++ b/tests/platform/fleet_test.py
@@ -16,6 +16,7 @@
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 CHANGE_BOUND = 3  # Seconds; the users' limit for this kind of site.
+FROZEN_CHANGE_BOUND = 2  # Seconds; the users' limit at nine instances, which is the default of the settings.
 INSTANCES = 5
 SLOTS_PER_EXTRA_REQUEST = 3  # A server may queue one request for this many slots, so that it does not idle between two.
 LONGEST_BOOKING = 1  # Seconds; half of the time limit of a booking.
@@ -66,6 +67,49 @@
     check("a change takes effect in time after instances that read the store for others are killed", all(results), results)
 
 
+async def watch_count(entry):
+    metrics = (await entry.get(entry.metrics, "/metrics")).body.decode()
+    return sum(float(line.rsplit(" ", 1)[1]) for line in metrics.splitlines() if line.startswith("borageslip_entry_store_calls_total{") and 'call="watch"' in line)
+
+
+async def find_reader(entries):
+    """The instance that reads the store for the others."""
+    before = [await watch_count(entry) for entry in entries]
+    await asyncio.sleep(1.5)
+    watches = [await watch_count(entry) - count for entry, count in zip(entries, before)]
+    return entries[watches.index(max(watches))]
+
+
+async def check_frozen_reader(fleet, mode, version):
+    """Guards against an instance that applies a change too late because the instance from which it reads the store is
+    frozen when the change comes, alone or while the store rejects it (CONFIG): it must learn of the change and read it from
+    another source."""
+    store, entries = fleet
+    reader = await find_reader(entries[:-1])
+    others = [entry for entry in entries if entry is not reader]
+    durations = []
+    store.rejection_mode = mode
+    for step in range(3):
+        reader.process.send_signal(signal.SIGSTOP)
+        # The change comes at different moments between the polls of the followers.
+        await asyncio.sleep(0.05 * step)
+        store.put_json("op/config", configuration_with_new_route(version + step))
+        changed = time.monotonic()
+
+        async def take_effect(entry, path=f"/new-{version + step}/a", changed=changed):
+            await entry.wait_until(lambda: is_served(entry, path), 3 * FROZEN_CHANGE_BOUND)
+            durations.append(time.monotonic() - changed)
+
+        await asyncio.gather(*(take_effect(entry) for entry in others))
+        reader.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(2)
+    store.rejection_mode = None
+    check(f"a change takes effect in time while the instance that reads the store for others is frozen ({mode})", max(durations) < FROZEN_CHANGE_BOUND, [f"{seconds:.2f}" for seconds in durations])
+    print(f"a change beside a frozen reader took effect after at most {max(durations):.2f} s ({mode})")
+    lines = [line for entry in others for line in entry.log_lines()]
+    check("the log names the source of each read besides the regular ones", any(line["event"] == "configuration-read" and line["source"] for line in lines))
+
+
 async def check_store_calls(fleet):
     """Guards against store calls that grow with the number of instances."""
     store, _ = fleet
@@ -224,6 +268,8 @@
             await asyncio.wait_for(check_crashing_part(fleet, servers, folder), 60)
             await asyncio.wait_for(check_coordinator_loss(fleet, servers, signal.SIGSTOP), 60)
             await asyncio.wait_for(check_store_calls(fleet), 60)
+            await asyncio.wait_for(check_frozen_reader(fleet, None, 10), 60)
+            await asyncio.wait_for(check_frozen_reader(fleet, "silent", 14), 60)
             await asyncio.wait_for(check_store_rejection(fleet, "busy", 20), 60)
             await asyncio.wait_for(check_store_rejection(fleet, "silent", 30), 60)
             await asyncio.wait_for(check_store_rejection(fleet, "busy", 35, extra_routes=1500), 60)
