Transfer a configuration besides the regular polls only when the polls do not bring it

Change: no early polls. A read because of an announcement waits 0.75 s, 1 ms an instance and three transfers for the polls to bring that version; while versions come in quick succession, the polls that bring some of them suffice. The next source is asked later by three transfers of the value.

--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
@@ -14,7 +14,8 @@
     constexpr Duration minReadTime = milliseconds(500); ///< Kept of the allowed delay for hedged reads.
     constexpr int readTimeDivisor = 4; ///< Of the allowed delay; the part kept for hedged reads.
     constexpr Duration hedgeDelay = milliseconds(100); ///< Longer than nearly all answers take; a processor share may pause for as long.
-    constexpr Duration pollGrace = milliseconds(150); ///< For the regular poll to bring an announced version.
+    constexpr int readTimeFactor = 3; ///< Other transfers share the link.
+    constexpr Duration pollGrace = milliseconds(750); ///< For the regular poll to bring an announced version.
     constexpr Duration spreadPerInstance = milliseconds(1);
     constexpr size_t maxOutstanding = 6;
     constexpr size_t maxReadsPerRound = 6;
@@ -42,11 +43,6 @@
 {
 }
 
-Duration ConfigurationRefresh::spread(size_t instanceCount)
-{
-    return spreadPerInstance * instanceCount;
-}
-
 void ConfigurationRefresh::recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now)
 {
     if (m_announcers.size() >= maxAnnouncers && !m_announcers.contains(instance))
@@ -54,12 +50,18 @@
     m_announcers[instance] = version;
     if (version <= m_newestAnnounced)
         return;
-    if (version > versionInForce) {
-        m_announcedAt = now;
-        m_asked.clear();
-        m_failedRounds = 0;
-    }
     m_newestAnnounced = version;
+    m_failedRounds = 0;
+    trackAwaited({ versionInForce }, now);
+}
+
+void ConfigurationRefresh::trackAwaited(const ConfigurationKnowledge& knowledge, TimePoint now)
+{
+    // While versions come in quick succession, the polls that bring some of them suffice.
+    if (m_awaitedVersion > knowledge.version || !isBehind(knowledge))
+        return;
+    m_awaitedVersion = m_newestAnnounced;
+    m_awaitedSince = now;
 }
 
 std::vector<StoreSource> ConfigurationRefresh::candidates(const ConfigurationKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const
@@ -91,7 +93,7 @@
     const auto outdatedAt = knowledge.confirmedAt + m_maxAge;
     if (!isBehind(knowledge))
         return outdatedAt;
-    return std::min(outdatedAt, m_announcedAt + pollGrace + spread(instanceCount));
+    return std::min<TimePoint>(outdatedAt, m_awaitedSince + pollGrace + spreadPerInstance * instanceCount + readTimeFactor * knowledge.readTime);
 }
 
 void ConfigurationRefresh::endRound(TimePoint now)
@@ -104,6 +106,7 @@
 
 std::optional<ConfigurationRead> ConfigurationRefresh::next(const ConfigurationKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, size_t instanceCount, TimePoint now)
 {
+    trackAwaited(knowledge, now);
     if (!isBehind(knowledge) && !isOutdated(knowledge, now)) {
         m_asked.clear();
         m_failedRounds = 0;
@@ -121,7 +124,7 @@
     const bool isFirst = m_asked.empty();
     m_asked.push_back(*source);
     ++m_outstanding;
-    m_nextReadAt = now + hedgeDelay;
+    m_nextReadAt = now + hedgeDelay + readTimeFactor * knowledge.readTime;
     return ConfigurationRead { *source, !isFirst };
 }
 
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
@@ -19,6 +19,7 @@
 struct ConfigurationKnowledge {
     uint64_t version = 0; ///< In force; 0 for none.
     TimePoint confirmedAt {}; ///< When the version in force was the newest one in the store.
+    Duration readTime {}; ///< Expected for the transfer of a configuration; the next source is asked that much later.
 };
 
 /** A read of the configuration from one source. */
@@ -69,20 +70,19 @@
     /** Time of the next call of next(). */
     TimePoint nextCheck(const ConfigurationKnowledge&, size_t instanceCount, TimePoint now) const;
 
-    /** Time over which the reads of all instances after an announcement are spread. */
-    static Duration spread(size_t instanceCount);
-
 private:
     bool isBehind(const ConfigurationKnowledge& knowledge) const { return m_newestAnnounced > knowledge.version; }
     bool isOutdated(const ConfigurationKnowledge& knowledge, TimePoint now) const { return now - knowledge.confirmedAt > m_maxAge; }
     TimePoint dueAt(const ConfigurationKnowledge&, size_t instanceCount) const;
     std::vector<StoreSource> candidates(const ConfigurationKnowledge&, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const;
     void endRound(TimePoint now);
+    void trackAwaited(const ConfigurationKnowledge&, TimePoint now);
 
     uint64_t m_ownHash;
     Duration m_maxAge;
     uint64_t m_newestAnnounced = 0;
-    TimePoint m_announcedAt {}; ///< When a version newer than the one in force was first announced.
+    uint64_t m_awaitedVersion = 0; ///< Announced version that the regular poll is to bring.
+    TimePoint m_awaitedSince {};
     std::map<boost::asio::ip::tcp::endpoint, uint64_t> m_announcers; ///< Versions that instances have in force.
     std::vector<StoreSource> m_asked; ///< In the current round.
     size_t m_outstanding = 0;
