Keep the rate limits that backend servers name

Change: SendAllowance holds what a server has said of the requests that it accepts. An instance that gets a new figure tells all others; the coordinator of the server's reservations or slots grants within the rate from a token bucket that begins empty, an instance that is asked although it takes another one for the coordinator half of it, and without a reply nothing is sent. Requests with long prefixes stay, others go to the servers without a limit; load caps count only these. Figures that are no number or out of range are logged and counted.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -35,6 +35,20 @@
     constexpr size_t maxPartialEventBytes = 256 * 1024; ///< Of a stream event that is still arriving.
     constexpr size_t maxInlineRequestBytes = 4 * 1024; ///< A longer request is written concurrently with reading the response.
 
+    constexpr double minRateLimit = 0.1; ///< Requests a second; a lower limit is taken for this, so that its end is noticed.
+    constexpr double maxRateLimit = 1e6; ///< Requests a second; a higher limit is taken for this.
+
+    bool isSoundRateLimit(const Result<double>& limit)
+    {
+        return isOk(limit) && value(limit) > 0 && value(limit) <= maxRateLimit;
+    }
+
+    /** The limit to apply; nothing if the figure cannot be read, in which case the limit known before holds. */
+    std::optional<double> validRateLimit(const Result<double>& limit)
+    {
+        return isOk(limit) ? std::optional(std::clamp(value(limit), minRateLimit, maxRateLimit)) : std::nullopt;
+    }
+
     /** Whether a newer configuration might admit the request. */
     bool isRefusedByConfiguration(const Result<AdmittedRequest>& admitted)
     {
@@ -213,14 +227,14 @@
 
 milliseconds Exchange::prefixWait() const
 {
-    const auto prefix = TrafficEngine::sharedPrefix(m_admitted, m_metadata);
+    const auto prefix = TrafficEngine::sharedPrefix(m_admitted);
     const milliseconds worthwhile(prefix.tokens / prefixTokensPerWait);
     return std::min({ worthwhile, route().latencyObjective / prefixWaitDivisor, timeLeft() });
 }
 
 asio::awaitable<ReservationResult> Exchange::requestReservation(BackendServer& server, milliseconds waitWithin)
 {
-    const auto prefix = TrafficEngine::sharedPrefix(m_admitted, m_metadata);
+    const auto prefix = TrafficEngine::sharedPrefix(m_admitted);
     auto* broker = m_engine.reservationBroker();
     if (broker == nullptr)
         co_return ReservationResult { ReservationOutcome::Granted, prefix.hash != 0 && server.recordPrefix(prefix.hash) };
@@ -244,7 +258,7 @@
         // capacity.
         if (result.outcome != ReservationOutcome::Denied) {
             if (result.isPrefixCached)
-                reservation->removeCachedTokens(static_cast<int64_t>(TrafficEngine::sharedPrefix(m_admitted, m_metadata).tokens));
+                reservation->removeCachedTokens(static_cast<int64_t>(TrafficEngine::sharedPrefix(m_admitted).tokens));
             reservation->confirm();
             co_return reservation;
         }
@@ -388,6 +402,9 @@
         auto ticket = co_await awaitDecision(demand);
         auto server = m_engine.servers().find(ticket->server());
         if (ticket->outcome() == SlotTicket::Outcome::Unanswered) {
+            // Without the coordinator, nobody knows how much of a rate limit is left.
+            const auto limited = m_engine.rateLimitedServers(m_admitted.service);
+            demand.excluded.insert(demand.excluded.end(), limited.begin(), limited.end());
             server = m_engine.choose(m_admitted, demand.excluded).server;
             if (server)
                 ticket->useWithoutGrant(server->hash());
@@ -490,14 +507,37 @@
     // The response may come from another server at the same address.
     if (metadata.isMisdirected)
         return;
-    if (metadata.isServerLeaving && !server.isLeaving()) {
+    if (metadata.isServerLeaving && !server.allowance().isLeaving()) {
         logEvent(Severity::Info, "server-leaving", { { "server", server.description().id } });
         server.setLeaving();
     }
     if (metadata.retryAfter) {
         logEvent(Severity::Info, "server-paused", { { "server", server.description().id }, { "retry_after_ms", metadata.retryAfter->count() } });
-        server.pauseFor(*metadata.retryAfter);
+        server.allowance().pauseUntil(m_engine.clock().now() + *metadata.retryAfter);
+    }
+}
+
+void Exchange::applyRateLimit(const AttemptState& state, const ResponseMetadata& metadata)
+{
+    if (metadata.isMisdirected)
+        return;
+    const auto now = m_engine.clock().now();
+    auto& server = *state.server;
+    bool hasChanged = false;
+    if (!metadata.rateLimit) {
+        hasChanged = server.allowance().recordNoRateLimit(state.sentAt, now);
+    } else if (const auto limit = validRateLimit(*metadata.rateLimit)) {
+        hasChanged = server.allowance().recordRateLimit({ *limit, now });
     }
+    if (metadata.rateLimit && !isSoundRateLimit(*metadata.rateLimit)) {
+        ++m_engine.counts().invalidRateLimits;
+        logEvent(Severity::Warning, "rate-limit-invalid", { { "server", server.description().id }, { "detail", isOk(*metadata.rateLimit) ? "the figure is out of range" : error(*metadata.rateLimit).detail } });
+    }
+    if (!hasChanged)
+        return;
+    logEvent(Severity::Info, "server-rate-limit", { { "server", server.description().id }, { "per_second", server.allowance().rateLimitNotice().perSecond } });
+    if (auto* broker = m_engine.reservationBroker())
+        broker->notifyRateLimit(server);
 }
 
 bool Exchange::isResponseToThisRequest(const AttemptState& state, const ResponseMetadata& metadata) const
@@ -529,6 +569,7 @@
                 co_return handleLostResponse(state, "connection lost after a response to another request");
             continue;
         }
+        applyRateLimit(state, metadata);
         if (metadata.isEncoded)
             co_return handleLostResponse(state, "response has a content encoding");
         if (metadata.isMisdirected)
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -119,6 +119,7 @@
     void recordServerHealth(const AttemptState&, unsigned status);
     std::string forwardedHead(const BackendServer&) const;
     void applyServerNotices(const AttemptState&, const ResponseMetadata&);
+    void applyRateLimit(const AttemptState&, const ResponseMetadata&);
     bool isResponseToThisRequest(const AttemptState&, const ResponseMetadata&) const;
     bool tryReserveRetry(unsigned status);
     void releaseConnection(AttemptState&, const ResponseReader&);
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -52,6 +52,15 @@
         return affinity | 1;
     }
 
+    /** Prompt tokens of the parts that other requests share. */
+    uint64_t sharedTokens(const RequestMetadata& metadata)
+    {
+        if (metadata.promptParts.empty())
+            return 0;
+        const int64_t own = metadata.promptParts.back().tokens;
+        return static_cast<uint64_t>(std::max<int64_t>(0, static_cast<int64_t>(metadata.promptTokens) - own));
+    }
+
 }
 
 TrafficEngine::TrafficEngine(const Clock& clock, const boost::asio::any_io_executor& executor, const CallerProtocol& protocol, TrafficSettings settings)
@@ -132,7 +141,7 @@
         return Error { ErrorKind::NotFound, "no route matches this host and path" };
 
     const auto hash = hashBytes(metadata.requestId);
-    AdmittedRequest admitted { m_configuration, route, {}, 0, selectService(*route, hash), hash, affinityHash(metadata) };
+    AdmittedRequest admitted { m_configuration, route, {}, 0, selectService(*route, hash), hash, affinityHash(metadata), sharedTokens(metadata) };
     if (!m_configuration->hasAccounts())
         return admitted;
     const auto* account = metadata.key.empty() ? nullptr : m_configuration->accountForKey(metadata.key);
@@ -148,14 +157,6 @@
     return admitted;
 }
 
-SharedPrefix TrafficEngine::sharedPrefix(const AdmittedRequest& admitted, const RequestMetadata& metadata)
-{
-    if (metadata.promptParts.empty())
-        return {};
-    const int64_t own = metadata.promptParts.back().tokens;
-    return { admitted.affinity, static_cast<uint64_t>(std::max<int64_t>(0, static_cast<int64_t>(metadata.promptTokens) - own)) };
-}
-
 void TrafficEngine::countPrompt(const RequestMetadata& metadata, int64_t uncached)
 {
     if (metadata.promptParts.empty())
@@ -190,7 +191,7 @@
     for (const auto& server : m_servers.ofService(service)) {
         if (!server->isInService())
             continue;
-        const auto pause = std::max(Duration::zero(), server->pausedUntil() - now);
+        const auto pause = std::max(Duration::zero(), server->allowance().pausedUntil() - now);
         shortest = shortest ? std::min(*shortest, pause) : pause;
     }
     return shortest.value_or(Duration::zero());
@@ -201,23 +202,40 @@
     const auto now = m_clock.now();
     std::vector<uint64_t> unavailable;
     for (const auto& server : m_servers.ofService(service)) {
-        if (server->isLeaving() || server->isPaused(now))
+        if (server->allowance().isLeaving() || server->allowance().isPaused(now))
             unavailable.push_back(server->hash());
     }
     return unavailable;
 }
 
-double TrafficEngine::meanInFlight(std::string_view service) const
+std::vector<uint64_t> TrafficEngine::rateLimitedServers(std::string_view service) const
 {
-    int total = 0;
-    int count = 0;
+    const auto now = m_clock.now();
+    std::vector<uint64_t> limited;
     for (const auto& server : m_servers.ofService(service)) {
-        if (!server->isInService())
-            continue;
-        total += server->inFlight();
-        ++count;
+        if (server->allowance().rateLimit(now))
+            limited.push_back(server->hash());
     }
-    return count == 0 ? 0 : static_cast<double>(total) / count;
+    return limited;
+}
+
+double TrafficEngine::meanInFlight(std::string_view service) const
+{
+    const auto now = m_clock.now();
+    const auto mean = [&](bool includesRateLimited) -> std::optional<double> {
+        int total = 0;
+        int count = 0;
+        for (const auto& server : m_servers.ofService(service)) {
+            if (!server->isInService() || (!includesRateLimited && server->allowance().rateLimit(now)))
+                continue;
+            total += server->inFlight();
+            ++count;
+        }
+        return count == 0 ? std::nullopt : std::optional(static_cast<double>(total) / count);
+    };
+    // Servers at their rate limits have few requests, however many the others have to take.
+    const auto unlimited = mean(false);
+    return unlimited ? *unlimited : mean(true).value_or(0);
 }
 
 TrafficEngine::ChosenServer TrafficEngine::choose(const AdmittedRequest& admitted, std::span<const uint64_t> excluded)
@@ -230,7 +248,10 @@
     for (const auto& server : m_servers.ofService(admitted.service)) {
         if (!server->isInService())
             continue;
-        const bool isExcluded = server->isPaused(now) || std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
+        // A server at its rate limit is left out, so that the load cap of the others counts only what they share.
+        if (server->isDeferred(admitted.prefixTokens, now))
+            continue;
+        const bool isExcluded = server->allowance().isPaused(now) || std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
         const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), admitted.hash, now);
         const int slots = keepsReserve ? PriorityReserve::unreservedSlots(server->description().slots) : server->description().slots;
         m_candidates.push_back({ server->hash(), server->inFlight(), slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -46,6 +46,7 @@
     std::string service;
     uint64_t hash = 0; ///< Hash of the request id; selects the service and breaks ties between servers.
     uint64_t affinity = 0; ///< Hash of the prompt parts shared with other requests; 0 if there are none.
+    uint64_t prefixTokens = 0; ///< Of the prompt parts shared with other requests.
 
     RequestPriority requestPriority() const { return { accountPriority, route->priority }; }
 };
@@ -125,7 +126,7 @@
     ChosenServer choose(const AdmittedRequest&, std::span<const uint64_t> excluded);
 
     /** The part of the request's prompt that other requests share. */
-    static SharedPrefix sharedPrefix(const AdmittedRequest&, const RequestMetadata&);
+    static SharedPrefix sharedPrefix(const AdmittedRequest& admitted) { return { admitted.affinity, admitted.prefixTokens }; }
 
     /** Counts the prompt tokens of an attempt. @param uncached tokens that are not expected in the prefix cache of the server. */
     void countPrompt(const RequestMetadata&, int64_t uncached);
@@ -151,6 +152,9 @@
 
     /** Hashes of the service's servers that accept no requests of this instance at present. */
     std::vector<uint64_t> unavailableServers(std::string_view service) const;
+
+    /** Hashes of the service's servers that have named a rate limit. */
+    std::vector<uint64_t> rateLimitedServers(std::string_view service) const;
     WaitQueue& waitQueue(const std::string& service) { return serviceState(service).waitQueue; }
     size_t waitingCount() const;
     FleetRetryBudget& retryBudget(const std::string& service) { return serviceState(service).retryBudget; }
--- a/modules/borageslip_traffic/limits/ReservationWaitList.cpp
+++ b/modules/borageslip_traffic/limits/ReservationWaitList.cpp
@@ -89,6 +89,14 @@
     return next;
 }
 
+std::vector<uint64_t> ReservationWaitList::servers() const
+{
+    std::vector<uint64_t> hashes;
+    for (const auto& [server, list] : m_waiting)
+        hashes.push_back(server);
+    return hashes;
+}
+
 size_t ReservationWaitList::size() const
 {
     size_t count = 0;
--- a/modules/borageslip_traffic/limits/ReservationWaitList.h
+++ b/modules/borageslip_traffic/limits/ReservationWaitList.h
@@ -49,6 +49,9 @@
     ServerUsage usage(uint64_t server) const;
 
     std::optional<TimePoint> nextExpiry() const;
+
+    /** Hashes of the servers for which requests wait. */
+    std::vector<uint64_t> servers() const;
     size_t size() const;
 
 private:
--- a/modules/borageslip_traffic/limits/ServiceQueue.cpp
+++ b/modules/borageslip_traffic/limits/ServiceQueue.cpp
@@ -46,21 +46,37 @@
 /** Free capacity of the servers during one decision. */
 class ServiceQueue::Capacity {
 public:
-    Capacity(std::span<const QueuedServer> servers, const std::unordered_map<uint64_t, int>& held, double capFactor)
+    Capacity(std::span<const QueuedServer> servers, const std::unordered_map<uint64_t, int>& held, std::unordered_map<uint64_t, RequestRate>& rates, double capFactor, TimePoint now)
         : m_capFactor(capFactor)
+        , m_now(now)
     {
         for (const auto& server : servers) {
+            RequestRate* rate = nullptr;
+            if (server.rateLimit > 0) {
+                rate = &rates[server.hash];
+                rate->setRate(server.rateLimit, server.rateShare, now);
+            }
             const auto found = held.find(server.hash);
-            m_rows.push_back({ server, found == held.end() ? 0 : found->second, limit(server) });
+            m_rows.push_back({ server, found == held.end() ? 0 : found->second, limit(server), rate });
+            m_sharingCount += rate == nullptr ? 1 : 0;
+            m_sharedHeld += rate == nullptr ? m_rows.back().held : 0;
             m_totalHeld += m_rows.back().held;
-            m_totalSlots += server.slots;
-            m_isUnlimited |= server.slots == 0;
         }
     }
 
     bool isEmpty() const { return m_rows.empty(); }
-    bool isUnlimited() const { return m_isUnlimited; }
-    int totalSlots() const { return m_totalSlots; }
+
+    /** Requests a second that the servers can take. @param holdTime of a slot; zero when unknown. */
+    double serviceRate(Duration holdTime) const
+    {
+        constexpr double unlimited = std::numeric_limits<double>::infinity();
+        double total = 0;
+        for (const auto& row : m_rows) {
+            const double bySlots = row.server.slots == 0 || holdTime == Duration::zero() ? unlimited : row.server.slots / seconds(holdTime);
+            total += std::min(bySlots, row.server.rateLimit > 0 ? row.server.rateLimit : unlimited);
+        }
+        return total;
+    }
 
     bool hasFree() const
     {
@@ -93,6 +109,10 @@
             return 0;
         ++best->held;
         ++m_totalHeld;
+        if (best->rate != nullptr)
+            best->rate->take(m_now);
+        else
+            ++m_sharedHeld;
         best->server.isProbeDue = false;
         return best->server.hash;
     }
@@ -102,6 +122,7 @@
         QueuedServer server;
         int held;
         int limit; ///< Requests that it may have; 0 for unlimited.
+        RequestRate* rate; ///< Null without a rate limit.
     };
 
     static int limit(const QueuedServer& server)
@@ -124,16 +145,20 @@
 
     bool isFree(const Row& row) const
     {
+        if (row.rate != nullptr && !row.rate->canTake(m_now))
+            return false;
         const bool hasSlot = row.limit == 0 || row.held < row.limit;
-        const double mean = static_cast<double>(m_totalHeld) / static_cast<double>(m_rows.size());
+        // Servers at their rate limits have few requests, however many the others have to take.
+        const double mean = m_sharingCount > 0 ? static_cast<double>(m_sharedHeld) / m_sharingCount : static_cast<double>(m_totalHeld) / static_cast<double>(m_rows.size());
         return hasSlot && row.held <= m_capFactor * mean + capMargin;
     }
 
     double m_capFactor;
+    TimePoint m_now;
     std::vector<Row> m_rows;
     int m_totalHeld = 0;
-    int m_totalSlots = 0;
-    bool m_isUnlimited = false;
+    int m_sharedHeld = 0; ///< At servers without a rate limit.
+    int m_sharingCount = 0; ///< Servers without a rate limit.
 };
 
 bool ServiceQueue::apply(const ServiceState& state, uint64_t failureDomain, TimePoint now)
@@ -305,7 +330,7 @@
 {
     m_nextRejection = now + rejectionInterval;
     std::sort(m_waiting.begin(), m_waiting.end(), [&](const auto& left, const auto& right) { return isBefore(*left.entry, *right.entry, now); });
-    const double serviceRate = m_holdTime == Duration::zero() || capacity.isUnlimited() ? std::numeric_limits<double>::infinity() : capacity.totalSlots() / seconds(m_holdTime);
+    const double serviceRate = capacity.serviceRate(m_holdTime);
     const double arrivalRate = m_arrivals * std::exp(-seconds(now - m_arrivalsAt) / seconds(arrivalWindow)) / seconds(arrivalWindow);
     const double freeRate = std::max(serviceRate - arrivalRate, minFreeRate * serviceRate);
     size_t position = 0;
@@ -326,7 +351,8 @@
 std::vector<ServiceQueue::Decision> ServiceQueue::decide(std::span<const QueuedServer> servers, TimePoint now)
 {
     auto decisions = std::exchange(m_repeated, {});
-    Capacity capacity(servers, m_held, m_capFactor);
+    std::erase_if(m_rates, [&](const auto& row) { return std::none_of(servers.begin(), servers.end(), [&](const auto& server) { return server.hash == row.first && server.rateLimit > 0; }); });
+    Capacity capacity(servers, m_held, m_rates, m_capFactor, now);
     if (now >= m_settledAt)
         grantFreeSlots(capacity, decisions, now);
     if (!m_waiting.empty() && (now >= m_nextRejection || capacity.isEmpty()))
--- a/modules/borageslip_traffic/limits/ServiceQueue.h
+++ b/modules/borageslip_traffic/limits/ServiceQueue.h
@@ -2,6 +2,8 @@
 
 #include "../peers/ServiceMessages.h"
 
+#include "RequestRate.h"
+
 #include <borageslip_core/time/Clock.h>
 
 #include <cstdint>
@@ -21,6 +23,8 @@
     bool isCold = false;
     uint64_t failureDomain = 0; ///< Hash of the name.
     bool isProbeDue = false; ///< Whether the next request may go to it whatever its share, to find out whether it has recovered.
+    double rateLimit = 0; ///< Requests a second that it accepts from all instances; 0 for unlimited.
+    RequestRate::Share rateShare = RequestRate::Share::Coordinator;
 };
 
 /** Slots and queue of one service, kept by the service's coordinator: one queue for the requests of all instances, and
@@ -137,6 +141,7 @@
     std::vector<WaitingRequest> m_waiting;
     std::vector<Decision> m_repeated; ///< Decisions to send again with the next ones.
     std::unordered_map<uint64_t, int> m_held; ///< Requests by server.
+    std::unordered_map<uint64_t, RequestRate> m_rates; ///< Of the servers that have named a rate limit.
     std::unordered_map<uint64_t, int> m_heldByAccount;
     TimePoint m_settledAt {};
     TimePoint m_nextRejection {};
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -17,6 +17,8 @@
     uint64_t retriesDenied = 0; ///< Retries that the fleet-wide retry budget did not allow.
     uint64_t confirmations = 0; ///< Refusals that waited for the configuration to be confirmed.
     uint64_t confirmationsMissed = 0; ///< Of these, the ones for which it was not confirmed in time.
+    uint64_t rateLimitDenials = 0; ///< Reservations and slots that this instance denied because of the rate limit of a server.
+    uint64_t invalidRateLimits = 0; ///< Responses with a rate limit that cannot be applied as it stands.
     uint64_t quarantineRejections = 0; ///< Requests that were not sent because of quarantined prompt parts.
     uint64_t promptTokens = 0; ///< Of requests sent to backend servers.
     uint64_t promptTokensCached = 0; ///< The part of promptTokens that was expected in the prefix cache of the server.
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -3,6 +3,7 @@
 #include <borageslip_core/errors/Invariant.h>
 #include <borageslip_core/logging/Log.h>
 
+#include <algorithm>
 #include <array>
 #include <fstream>
 #include <prometheus/text_serializer.h>
@@ -131,6 +132,13 @@
         return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
     }
 
+    size_t rateLimitedServers(TrafficEngine& engine)
+    {
+        const auto now = engine.clock().now();
+        const auto& servers = engine.servers().all();
+        return static_cast<size_t>(std::count_if(servers.begin(), servers.end(), [now](const auto& row) { return row.second->allowance().rateLimit(now).has_value(); }));
+    }
+
     MetricFamily servers(TrafficEngine& engine)
     {
         int ready = 0;
@@ -187,6 +195,9 @@
         counter("borageslip_entry_retries_denied_total", "Repeats that the shared budget did not allow", counts.retriesDenied),
         counter("borageslip_entry_confirmations_total", "Refusals that waited for the configuration to be confirmed", counts.confirmations),
         counter("borageslip_entry_confirmations_missed_total", "Refusals for which the configuration was not confirmed in time", counts.confirmationsMissed),
+        gauge("borageslip_entry_rate_limited_servers", "Backend servers that have named a rate limit", static_cast<double>(rateLimitedServers(m_engine))),
+        counter("borageslip_entry_rate_limit_denials_total", "Reservations that this coordinator denied because of the rate limit of a server", counts.rateLimitDenials),
+        counter("borageslip_entry_rate_limits_invalid_total", "Responses with a rate limit that is no number or out of range", counts.invalidRateLimits),
         counter("borageslip_entry_server_crashes_total", "Crashes of backend servers with requests of this instance that they had not begun to answer", m_engine.crashDetector().crashCount()),
         counter("borageslip_entry_quarantine_rejections_total", "Requests rejected because of quarantined prompt parts", counts.quarantineRejections),
         gauge("borageslip_entry_quarantined_prompts", "Quarantined combinations of prompt parts", static_cast<double>(m_engine.quarantine().quarantined().size())),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <random>
 #include <tuple>
 #include <type_traits>
 #include <utility>
@@ -25,15 +26,26 @@
     constexpr Duration reportIntervalPerMember = milliseconds(12);
     constexpr int lostReportsBeforeExpiry = 8;
     constexpr int lostReportsOfDelisted = 2;
-    constexpr int outcomeReportRepeats = 4; ///< Reports that repeat a server's outcomes after a change, because datagrams may be lost.
+    constexpr int outcomeReportRepeats = 4; ///< Reports that repeat a server's outcomes after a change, and its rate limit after a response, because datagrams may be lost.
     constexpr Duration minReportLifetime = milliseconds(1200);
     constexpr size_t maxDatagramBytes = 16 * 1024;
     constexpr Duration coordinatorLifetime = milliseconds(50); ///< For which a ranked coordinator is reused.
     constexpr Duration replyTimeout = milliseconds(40); ///< A small fraction of the shortest latency objective.
     constexpr int timeoutsBeforeExclusion = 2; ///< A single timeout may be a lost datagram.
     constexpr Duration exclusionTime = std::chrono::seconds(2);
+    constexpr Duration minRateWait = milliseconds(10); ///< Between checks of a rate limit while requests wait for a slot as well.
+    constexpr Duration maxRateDeferral = std::chrono::seconds(1);
     constexpr Duration maxReservationWait = std::chrono::seconds(5); ///< For which a request of another instance may wait here.
 
+    /** Time after a denial until the next request for a reservation of a server with a rate limit. Randomised, so that the
+        instances do not all ask at once. */
+    Duration rateDeferral(double perSecond)
+    {
+        static std::minstd_rand s_random { std::random_device {}() };
+        std::uniform_real_distribution<double> requests(0.3, 0.9);
+        return std::min(maxRateDeferral, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(requests(s_random) / perSecond)));
+    }
+
 }
 
 PeerLink::PeerLink(TrafficEngine& engine, std::string ownName, double ownCapacity)
@@ -215,6 +227,8 @@
             m_engine.quarantine().clear(content.cleared);
         else if constexpr (std::is_same_v<Content, ConfigurationNotice>)
             recordVersion(content.version, sender);
+        else if constexpr (std::is_same_v<Content, RateLimitsNotice>)
+            recordRateLimits(content.limits);
         else
             receiveCoordination(content, sender);
     },
@@ -255,6 +269,7 @@
 void PeerLink::receiveReport(PeerReport report, const udp::endpoint& sender)
 {
     recordVersion(report.configurationVersion, sender);
+    recordRateLimits(report.rateLimits);
     for (const auto& prompt : report.quarantined)
         m_engine.quarantine().adopt(prompt);
     const auto changes = m_reportTable.apply(std::move(report), m_engine.clock().now());
@@ -309,24 +324,59 @@
     return server.isInService() && canGrantReservation(context, limits, m_engine.choiceLimits().capFactor);
 }
 
+RequestRate::Share PeerLink::rateShare(const BackendServer& server)
+{
+    return coordinator(server.hash()) == nullptr ? RequestRate::Share::Coordinator : RequestRate::Share::Other;
+}
+
+bool PeerLink::hasRate(BackendServer& server, uint64_t prefixTokens)
+{
+    const auto now = m_engine.clock().now();
+    return !server.allowance().rateLimit(now) || server.allowance().hasRate(rateShare(server), prefixTokens, now);
+}
+
+void PeerLink::notifyRateLimit(const BackendServer& server)
+{
+    const auto& limit = server.allowance().rateLimitNotice();
+    sendToAll(encodeRateLimitsNotice({ m_ownName, { { server.hash(), limit.perSecond, std::chrono::duration_cast<milliseconds>(m_engine.clock().now() - limit.observedAt) } } }));
+}
+
+void PeerLink::recordRateLimits(std::span<const RateLimitRow> limits)
+{
+    const auto now = m_engine.clock().now();
+    for (const auto& limit : limits) {
+        const auto server = m_engine.servers().find(limit.server);
+        if (server && server->allowance().recordRateLimit({ limit.perSecond, now - limit.age, true }))
+            logEvent(Severity::Info, "server-rate-limit-told", { { "server", server->description().id }, { "per_second", limit.perSecond } });
+    }
+}
+
 void PeerLink::decideReservation(BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
 {
+    const auto now = m_engine.clock().now();
     auto usage = grantedUsage(server);
     usage.inFlight -= std::min(usage.inFlight, 1u);
     usage.pendingPrefill -= std::min(usage.pendingPrefill, message.promptTokens);
     const bool isBehind = m_waitList.hasBefore(server.hash(), message.priority);
-    if (!isBehind && canGrant(server, usage, message.limits))
+    server.allowance().recordDemand(message.prefix.tokens);
+    const bool isWithinRate = hasRate(server, message.prefix.tokens);
+    if (!isBehind && isWithinRate && canGrant(server, usage, message.limits))
         return grantReservation(server, message, sender);
-    const bool lacksSlot = isBehind || (message.limits.slots != 0 && usage.inFlight >= message.limits.slots);
+    const bool lacksSlot = isBehind || !isWithinRate || (message.limits.slots != 0 && usage.inFlight >= message.limits.slots);
+    if (!isWithinRate && server.allowance().nextRequestAt(message.prefix.tokens, now) > now + message.waitWithin) {
+        ++m_engine.counts().rateLimitDenials;
+        return denyReservation(server, message, sender);
+    }
     if (!lacksSlot || !server.isInService() || !m_waitList.hasRoom(message))
         return denyReservation(server, message, sender);
-    m_waitList.add({ message, sender, m_engine.clock().now() + std::min<Duration>(message.waitWithin, maxReservationWait) });
+    m_waitList.add({ message, sender, now + std::min<Duration>(message.waitWithin, maxReservationWait) });
     replyTo(message, sender, { message.sequence, false, true, usage });
     m_pollEvent.notify();
 }
 
 void PeerLink::grantReservation(BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
 {
+    server.allowance().takeRate(m_engine.clock().now());
     const bool isPrefixCached = message.prefix.hash != 0 && server.recordPrefix(message.prefix.hash);
     if (isPrefixCached)
         reduceUsage(message, { server.hash(), 0, message.prefix.tokens });
@@ -362,13 +412,37 @@
 void PeerLink::grantWaiting(BackendServer& server)
 {
     while (const auto* first = m_waitList.first(server.hash())) {
-        if (!canGrant(server, grantedUsage(server), first->message.limits))
+        if (!hasRate(server, first->message.prefix.tokens) || !canGrant(server, grantedUsage(server), first->message.limits))
             return;
         const auto granted = m_waitList.takeFirst(server.hash());
         grantReservation(server, granted.message, granted.sender);
     }
 }
 
+void PeerLink::grantDue()
+{
+    const auto now = m_engine.clock().now();
+    for (const auto hash : m_waitList.servers()) {
+        if (const auto server = m_engine.servers().find(hash); server && server->allowance().rateLimit(now))
+            grantWaiting(*server);
+    }
+}
+
+std::optional<TimePoint> PeerLink::nextRateGrant() const
+{
+    const auto now = m_engine.clock().now();
+    std::optional<TimePoint> next;
+    for (const auto hash : m_waitList.servers()) {
+        const auto server = m_engine.servers().find(hash);
+        if (!server || !server->allowance().rateLimit(now))
+            continue;
+        // A request that waits for a slot is granted with the end of another one.
+        const auto due = std::max(server->allowance().nextRequestAt(m_waitList.first(hash)->message.prefix.tokens, now), now + minRateWait);
+        next = next ? std::min(*next, due) : due;
+    }
+    return next;
+}
+
 void PeerLink::denyExpired()
 {
     for (const auto& expired : m_waitList.takeExpired(m_engine.clock().now())) {
@@ -472,6 +546,11 @@
     if (reply)
         outcome = reply->isGranted ? ReservationOutcome::Granted : ReservationOutcome::Denied;
     ++m_engine.counts().reservationRequests.at(static_cast<size_t>(outcome));
+    const auto now = m_engine.clock().now();
+    if (const auto limit = server.allowance().rateLimit(now); limit && outcome != ReservationOutcome::Granted) {
+        server.deferUntil(now + rateDeferral(*limit), demand.prefix.tokens);
+        return { ReservationOutcome::Denied };
+    }
     if (!reply) {
         const ServerUsage known { server.hash(), static_cast<uint32_t>(std::max(0, server.inFlight() - 1)), static_cast<uint64_t>(std::max<int64_t>(0, server.pendingPrefill() - demand.promptTokens)) };
         return { canGrant(server, known, demand.limits) ? ReservationOutcome::TimedOut : ReservationOutcome::Denied };
@@ -511,8 +590,10 @@
 {
     while (m_socket.is_open()) {
         auto next = m_coordination.nextPoll();
-        if (const auto expiry = m_waitList.nextExpiry())
-            next = next ? std::min(*next, *expiry) : *expiry;
+        for (const auto due : { m_waitList.nextExpiry(), nextRateGrant() }) {
+            if (due)
+                next = next ? std::min(*next, *due) : *due;
+        }
         if (next) {
             const auto delay = std::max(Duration::zero(), *next - m_engine.clock().now());
             co_await m_pollEvent.waitFor(delay);
@@ -520,6 +601,7 @@
             co_await m_pollEvent.wait();
         }
         m_coordination.poll();
+        grantDue();
         denyExpired();
     }
 }
@@ -612,12 +694,13 @@
 {
     const auto now = m_engine.clock().now();
     const auto& health = m_engine.servers().health(std::string(service));
+    const auto rateShare = serviceCoordinator(service) == m_ownName ? RequestRate::Share::Coordinator : RequestRate::Share::Other;
     std::vector<QueuedServer> servers;
     for (const auto& server : m_engine.servers().ofService(service)) {
         if (!server->isInService())
             continue;
         const double share = server->isEjected(now) ? 0 : health.share(server->hash());
-        servers.push_back({ server->hash(), server->description().slots, share, server->isCold(now), hashBytes(server->description().failureDomain), !server->isEjected(now) && health.isProbeDue(server->hash(), now) });
+        servers.push_back({ server->hash(), server->description().slots, share, server->isCold(now), hashBytes(server->description().failureDomain), !server->isEjected(now) && health.isProbeDue(server->hash(), now), server->allowance().rateLimit(now).value_or(0), rateShare });
     }
     return servers;
 }
@@ -658,6 +741,9 @@
     for (const auto& [id, server] : m_engine.servers().all()) {
         if (server->ownInFlight() > 0)
             report.usages.push_back({ server->hash(), static_cast<uint32_t>(server->ownInFlight()), static_cast<uint64_t>(server->ownPendingPrefill()) });
+        const auto& limit = server->allowance().rateLimitNotice();
+        if (!limit.isTold && limit.observedAt != TimePoint() && now - limit.observedAt < reportInterval() * outcomeReportRepeats)
+            report.rateLimits.push_back({ server->hash(), limit.perSecond, std::chrono::duration_cast<milliseconds>(now - limit.observedAt) });
         const auto& outcomes = server->outcomes();
         if (now - outcomes.changedAt < reportInterval() * outcomeReportRepeats)
             report.outcomes.push_back({ server->hash(), outcomes.answers, outcomes.failures });
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -71,6 +71,7 @@
 
     boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, ReservationDemand) override;
     void notifyUsageChanged(BackendServer&) override;
+    void notifyRateLimit(const BackendServer&) override;
     std::unique_ptr<SlotTicket> requestSlot(SlotDemand, std::function<void()> onDecision) override;
 
     /** Sources from which this instance reads the store, in order of preference; nothing stands for the store itself.
@@ -143,6 +144,12 @@
     /** Whether this instance grants a reservation. @param usage of the server without the reservation. */
     bool canGrant(const BackendServer&, const ServerUsage& usage, const ReservationLimits&) const;
 
+    RequestRate::Share rateShare(const BackendServer&);
+
+    /** Whether the rate limit of the server allows a request now. */
+    bool hasRate(BackendServer&, uint64_t prefixTokens);
+    void recordRateLimits(std::span<const RateLimitRow>);
+
     /** Decides on a request that the sender has counted at the server. */
     void decideReservation(BackendServer&, const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
     void grantReservation(BackendServer&, const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
@@ -154,6 +161,12 @@
 
     /** Grants free slots of the server to the requests that wait for it. */
     void grantWaiting(BackendServer&);
+
+    /** Grants the requests that wait until the rate limits of their servers allow them. */
+    void grantDue();
+
+    /** When the rate limit of a server allows the next of the requests that wait; nothing when none waits for that. */
+    std::optional<TimePoint> nextRateGrant() const;
     void denyExpired();
 
     /** Sets the usage of the server by the other instances as its coordinator has stated it. */
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -1,10 +1,12 @@
 #include "PeerReport.h"
 
 #include "QuarantineMessages.h"
+#include "ServiceMessages.h"
 
 #include <borageslip_core/encoding/Cbor.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace borageslip {
 
@@ -13,6 +15,31 @@
     // First element of the array; other numbers are other formats or message kinds.
     constexpr int formatVersion = 1;
 
+    nlohmann::json rateLimitRows(std::span<const RateLimitRow> limits)
+    {
+        auto rows = nlohmann::json::array();
+        for (const auto& limit : limits)
+            rows.push_back({ limit.server, limit.perSecond, static_cast<uint64_t>(std::max<int64_t>(0, limit.age.count())) });
+        return rows;
+    }
+
+    bool areRateLimits(const nlohmann::json& rows)
+    {
+        const auto isRow = [](const nlohmann::json& row) {
+            const bool hasFields = row.is_array() && row.size() == 3 && row[0].is_number_unsigned() && row[1].is_number() && isTimeField(row[2]);
+            return hasFields && std::isfinite(row[1].get<double>()) && row[1].get<double>() >= 0;
+        };
+        return rows.is_array() && std::all_of(rows.begin(), rows.end(), isRow);
+    }
+
+    std::vector<RateLimitRow> rateLimitsFrom(const nlohmann::json& rows)
+    {
+        std::vector<RateLimitRow> limits;
+        for (const auto& row : rows)
+            limits.push_back({ row[0], row[1], std::chrono::milliseconds(row[2].get<int64_t>()) });
+        return limits;
+    }
+
     bool isTriple(const nlohmann::json& row)
     {
         return row.is_array() && row.size() == 3 && std::all_of(row.begin(), row.end(), [](const auto& number) { return number.is_number_unsigned(); });
@@ -20,6 +47,18 @@
 
 }
 
+std::vector<uint8_t> encodeRateLimitsNotice(const RateLimitsNotice& notice)
+{
+    return nlohmann::json::to_cbor(nlohmann::json::array({ rateLimitsNoticeKind, notice.sender, rateLimitRows(notice.limits) }));
+}
+
+Result<RateLimitsNotice> rateLimitsNoticeFrom(const nlohmann::json& document)
+{
+    if (document.size() != 3 || !document[1].is_string() || !areRateLimits(document[2]))
+        return Error { ErrorKind::InvalidMessage, "malformed notice of rate limits" };
+    return RateLimitsNotice { document[1], rateLimitsFrom(document[2]) };
+}
+
 std::vector<uint8_t> encodePeerReport(const PeerReport& report)
 {
     auto usages = nlohmann::json::array();
@@ -34,6 +73,7 @@
         quarantined.push_back(quarantineRow(prompt));
     document.push_back(std::move(quarantined));
     document.push_back(report.configurationVersion);
+    document.push_back(rateLimitRows(report.rateLimits));
     return nlohmann::json::to_cbor(document);
 }
 
@@ -73,6 +113,11 @@
     if (!document[8].is_number_unsigned())
         return malformed;
     report.configurationVersion = document[8];
+    if (document.size() == 9)
+        return report;
+    if (!areRateLimits(document[9]))
+        return malformed;
+    report.rateLimits = rateLimitsFrom(document[9]);
     return report;
 }
 
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -4,6 +4,7 @@
 
 #include <borageslip_core/errors/Result.h>
 
+#include <chrono>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <span>
@@ -31,6 +32,30 @@
     bool operator==(const ServerOutcomes&) const = default;
 };
 
+/** What a backend server has said of its rate limit, as known to the sender. */
+struct RateLimitRow {
+    uint64_t server = 0; ///< Hash of the server's id.
+    double perSecond = 0; ///< 0: it names no limit any more.
+    std::chrono::milliseconds age { 0 }; ///< Since the response that said so.
+
+    bool operator==(const RateLimitRow&) const = default;
+};
+
+/** Sent to all instances by one at which a response has named another rate limit, or none any more. */
+struct RateLimitsNotice {
+    std::string sender;
+    std::vector<RateLimitRow> limits;
+
+    bool operator==(const RateLimitsNotice&) const = default;
+};
+
+constexpr int rateLimitsNoticeKind = 10;
+
+std::vector<uint8_t> encodeRateLimitsNotice(const RateLimitsNotice&);
+
+/** Decodes a CBOR array whose first element is rateLimitsNoticeKind. Errors: InvalidMessage. */
+Result<RateLimitsNotice> rateLimitsNoticeFrom(const nlohmann::json&);
+
 /** State that an instance sends periodically to all others, in one datagram. */
 struct PeerReport {
     std::string sender;
@@ -40,6 +65,7 @@
     std::vector<ServerUsage> usages; ///< Of the backend servers at which the sender has requests.
     std::vector<ServerOutcomes> outcomes {}; ///< Totals of the backend servers at which requests have ended recently.
     std::vector<QuarantinedPrompt> quarantined {}; ///< As known to the sender.
+    std::vector<RateLimitRow> rateLimits {}; ///< As known to the sender.
     uint64_t configurationVersion = 0; ///< Of the configuration in force at the sender; 0 for none.
 
     bool operator==(const PeerReport&) const = default;
--- a/modules/borageslip_traffic/peers/ReservationMessages.cpp
+++ b/modules/borageslip_traffic/peers/ReservationMessages.cpp
@@ -79,6 +79,8 @@
         return peerMessageFrom(clearedPartsNoticeFrom(document));
     if (hasKind && document[0] == configurationNoticeKind)
         return peerMessageFrom(configurationNoticeFrom(document));
+    if (hasKind && document[0] == rateLimitsNoticeKind)
+        return peerMessageFrom(rateLimitsNoticeFrom(document));
     return peerMessageFrom(decodePeerReport(bytes));
 }
 
--- a/modules/borageslip_traffic/peers/ReservationMessages.h
+++ b/modules/borageslip_traffic/peers/ReservationMessages.h
@@ -57,7 +57,7 @@
 };
 
 /** Any message between instances. */
-using PeerMessage = std::variant<PeerReport, ReservationMessage, ReservationReply, ServiceState, ServiceDecisions, CoordinatorNotice, ServerCrashNotice, ClearedPartsNotice, ConfigurationNotice>;
+using PeerMessage = std::variant<PeerReport, ReservationMessage, ReservationReply, ServiceState, ServiceDecisions, CoordinatorNotice, ServerCrashNotice, ClearedPartsNotice, ConfigurationNotice, RateLimitsNotice>;
 
 std::vector<uint8_t> encodeReservationMessage(const ReservationMessage&);
 std::vector<uint8_t> encodeReservationReply(const ReservationReply&);
--- a/modules/borageslip_traffic/placement/ReservationBroker.h
+++ b/modules/borageslip_traffic/placement/ReservationBroker.h
@@ -49,6 +49,9 @@
 
     /** Notifies the server's coordinator that this instance's usage of the server has changed. */
     virtual void notifyUsageChanged(BackendServer&) = 0;
+
+    /** Notifies the other instances that the server has named another rate limit, or none any more. */
+    virtual void notifyRateLimit(const BackendServer&) = 0;
 };
 
 }
--- a/modules/borageslip_traffic/protocol/CallerProtocol.h
+++ b/modules/borageslip_traffic/protocol/CallerProtocol.h
@@ -54,6 +54,7 @@
     bool isMisdirected = false; ///< The address belongs to a backend server other than the intended one.
     bool isServerLeaving = false; ///< The backend server is about to end and wants no further requests.
     std::optional<std::chrono::milliseconds> retryAfter {}; ///< For how long the backend server wants no request of this instance.
+    std::optional<Result<double>> rateLimit {}; ///< Requests a second that the backend server accepts from all instances; an error if it cannot be read.
     bool isEncoded = false; ///< The response has a content encoding, so its body is not what the backend server produced.
     std::optional<ServerLoad> load {};
 };
--- a/modules/borageslip_traffic/servers/BackendServer.cpp
+++ b/modules/borageslip_traffic/servers/BackendServer.cpp
@@ -46,7 +46,7 @@
 
 void BackendServer::setLeaving()
 {
-    m_isLeaving = true;
+    m_allowance.setLeaving();
     m_pool.closeAll();
 }
 
@@ -56,8 +56,7 @@
     const bool isSameIncarnation = other.id == m_description.id && other.startedAtMs == m_description.startedAtMs && other.address == m_description.address;
     if (!isSameIncarnation)
         return;
-    m_isLeaving |= earlier.m_isLeaving;
-    m_pausedUntil = std::max(m_pausedUntil, earlier.m_pausedUntil);
+    m_allowance.inherit(earlier.m_allowance);
 }
 
 bool BackendServer::recordPrefix(uint64_t affinity)
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -2,6 +2,7 @@
 
 #include "../net/ConnectionPool.h"
 #include "../placement/RecentPrefixes.h"
+#include "SendAllowance.h"
 
 #include <borageslip_core/time/Clock.h>
 
@@ -37,20 +38,29 @@
     ConnectionPool& pool() { return m_pool; }
 
     /** Whether new requests may be sent to it. */
-    bool isInService() const { return !m_isRemoved && !m_description.isDraining && !m_isLeaving; }
+    bool isInService() const { return !m_isRemoved && !m_description.isDraining && !m_allowance.isLeaving(); }
+
+    /** What it has said of the requests that it accepts. */
+    SendAllowance& allowance() { return m_allowance; }
+    const SendAllowance& allowance() const { return m_allowance; }
 
     /** Records that it said in a response that it is leaving; it gets no new requests until its next start, whatever the
         platform lists. */
     void setLeaving();
-    bool isLeaving() const { return m_isLeaving; }
 
-    /** Records that it wants no request of this instance for some time. */
-    void pauseFor(std::chrono::milliseconds time) { m_pausedUntil = std::max(m_pausedUntil, m_clock.now() + time); }
-    bool isPaused(TimePoint now) const { return now < m_pausedUntil; }
+    /** Records that its coordinator has denied a request because of its rate limit: this instance requests no reservation
+        with a prefix of this length or shorter until the rate may allow one. */
+    void deferUntil(TimePoint time, uint64_t prefixTokens)
+    {
+        m_deferredUntil = time;
+        m_deferredPrefix = prefixTokens;
+    }
+
+    /** Whether a request with such a prefix would probably be denied, too. */
+    bool isDeferred(uint64_t prefixTokens, TimePoint now) const { return now < m_deferredUntil && prefixTokens <= m_deferredPrefix && m_allowance.rateLimit(now); }
 
     /** Whether this instance may send a request to it now. */
-    bool acceptsRequests() const { return isInService() && !isPaused(m_clock.now()); }
-    TimePoint pausedUntil() const { return m_pausedUntil; }
+    bool acceptsRequests() const { return isInService() && !m_allowance.isPaused(m_clock.now()); }
 
     /** Takes over what an earlier listing of the same incarnation has said of itself. */
     void inherit(const BackendServer&);
@@ -135,8 +145,9 @@
     uint64_t m_hash;
     ConnectionPool m_pool;
     bool m_isRemoved = false;
-    bool m_isLeaving = false;
-    TimePoint m_pausedUntil {};
+    SendAllowance m_allowance;
+    TimePoint m_deferredUntil {};
+    uint64_t m_deferredPrefix = 0; ///< Prefix tokens of the denied request.
     int m_ownInFlight = 0;
     int m_peersInFlight = 0;
     int64_t m_ownPendingPrefill = 0;
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -60,8 +60,9 @@
     logEvent(Severity::Info, "server-removed", { { "server", id } });
     m_removalTimes.erase(std::string(id));
     server->remove();
-    if (server->isLeaving() || server->isPaused(m_clock.now()))
-        m_removed.insert_or_assign(server->description().id, RemovedServer { server, m_clock.now() });
+    const auto now = m_clock.now();
+    if (server->allowance().isLeaving() || server->allowance().isPaused(now) || server->allowance().rateLimit(now))
+        m_removed.insert_or_assign(server->description().id, RemovedServer { server, now });
     m_health[server->description().service].remove(server->hash());
     m_byHash.erase(server->hash());
     std::erase(m_byService[server->description().service], server);
--- a/tests/platform/fleet_test.py
+++ b/tests/platform/fleet_test.py
@@ -191,6 +191,69 @@
     check("every request is served while the slots suffice", all(answer.status == 200 for answer in answers), [answer.status for answer in answers])
 
 
+def most_within(times, window):
+    """The greatest number of times within a window of some seconds."""
+    return max((sum(1 for other in times if time <= other < time + window) for time in times), default=0)
+
+
+async def check_rate_limit(fleet, servers, path, method, loss):
+    """Guards against a backend server that gets more requests than the rate limit that it names, from several instances
+    together, also while the instance that grants its requests is lost (LIMIT)."""
+    _, entries = fleet
+    limit, window = 2.5, 4
+    for server in servers[:2]:
+        server.rate_limit = str(limit)
+    headers = ["X-Model: m", "X-Token-Usage: 600,20", "X-Prompt-Prefix: 0f:100,50b:400,{number:x}:10"]
+    statuses = []
+
+    async def ask(number):
+        entry = entries[number % len(entries)]
+        body = b"x" if method == "POST" else b""
+        answer = await entry.ask(path, method, body=body, identity=f"rate-{loss}-{path[1:4]}-{number}", headers=[line.format(number=number + 4096) for line in headers], deadline=1500)
+        statuses.append(answer.status)
+
+    tasks = []
+    for number in range(400):
+        if loss is not None and number == 200:
+            entries[0].process.send_signal(loss)
+        if loss is not None and number == 240:
+            entries[0].process.send_signal(signal.SIGCONT)
+        tasks.append(asyncio.create_task(ask(number)))
+        await asyncio.sleep(0.03)
+    await asyncio.gather(*tasks)
+    counts = [most_within([time for time, _ in server.arrivals], window) for server in servers[:2]]
+    totals = [len(server.arrivals) for server in servers[:2]]
+    kind = f"{path}, {'an instance is frozen' if loss else 'all instances run'}"
+    print(f"rate limit of {limit} a second ({kind}): at most {counts} in {window} s, {totals} in all, {sum(status == 200 for status in statuses)} of {len(statuses)} served")
+    check(f"a server gets no more than the rate limit that it names ({kind})", max(counts) <= 1.5 * limit * window + 5, counts)
+    check(f"requests beyond the rate limits are served by the other server ({kind})", sum(status == 200 for status in statuses) >= 0.9 * len(statuses), statuses)
+    for server in servers[:2]:
+        server.rate_limit = None
+        server.arrivals.clear()
+
+    async def is_unlimited():
+        await asyncio.gather(*(ask(1000 + number) for number in range(5)))
+        gauges = [(await entry.get(entry.metrics, "/metrics")).body for entry in entries]
+        return all(b"borageslip_entry_rate_limited_servers 0" in gauge for gauge in gauges)
+
+    check(f"a rate limit ends when responses no longer name it ({kind})", await entries[0].wait_until(is_unlimited, 10))
+
+
+async def check_invalid_rate_limits(fleet, servers):
+    """Guards against an instance that stops serving, or applies nonsense, because of a malformed rate limit."""
+    _, entries = fleet
+    for text in ("", "many", "1e400", "nan", "inf", "2,5", "-1", "0"):
+        for server in servers:
+            server.rate_limit = text
+        answers = await asyncio.gather(*(entry.ask("/read/a", identity=f"bad-{text}-{number}") for number, entry in enumerate(entries)))
+        check(f"a malformed rate limit does not stop the service ({text!r})", any(answer.status == 200 for answer in answers), [answer.status for answer in answers])
+    for server in servers:
+        server.rate_limit = None
+        server.arrivals.clear()
+    events = [line for entry in entries for line in entry.log_lines() if line["event"] == "rate-limit-invalid"]
+    check("a malformed rate limit is logged", len(events) > 0)
+
+
 async def check_coordinator_loss(fleet, servers, loss):
     """Guards against bookings that are lost, run twice or held for long when the instance that grants their slots is
     frozen or killed under load, and against both it and its successor granting the same slots."""
@@ -265,6 +328,9 @@
             await asyncio.sleep(2)
             fleet = (store, entries)
             await asyncio.wait_for(check_slots(fleet, servers), 60)
+            for path, method in (("/stream/stream/a", "POST"), ("/read/a", "GET")):
+                for loss in (None, signal.SIGSTOP):
+                    await asyncio.wait_for(check_rate_limit(fleet, servers, path, method, loss), 60)
             await asyncio.wait_for(check_crashing_part(fleet, servers, folder), 60)
             await asyncio.wait_for(check_coordinator_loss(fleet, servers, signal.SIGSTOP), 60)
             await asyncio.wait_for(check_store_calls(fleet), 60)
@@ -275,6 +341,7 @@
             await asyncio.wait_for(check_store_rejection(fleet, "busy", 35, extra_routes=1500), 60)
             await asyncio.wait_for(check_readers_killed(fleet), 60)
             await asyncio.wait_for(check_coordinator_loss(fleet, servers, signal.SIGKILL), 60)
+            await asyncio.wait_for(check_invalid_rate_limits((store, [entry for entry in entries if entry.process.returncode is None]), servers), 60)
         finally:
             for entry in entries:
                 if entry.process and entry.process.returncode is None:
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -204,7 +204,8 @@
         self.crashes = 0
         self.is_leaving = False  # Stated in all responses, while the platform still lists it as ready.
         self.retry_after = 1.5  # Seconds; of the behaviour "paused".
-        self.arrivals = []  # Time and request id, of the behaviour "paused".
+        self.arrivals = []  # Time and request id, of the behaviour "paused" and while it has a rate limit.
+        self.rate_limit = None  # Text of the rate limit that it names in all responses.
         self.listener = None
         self.writers = set()
 
@@ -244,6 +245,9 @@
             own_headers = [("X-Request-Id", headers.get("x-request-id", "")), ("X-Response-Seal", "seal-" + self.identity)]
             if self.is_leaving:
                 own_headers.append(("Server-Leaving", "1"))
+            if self.rate_limit is not None:
+                own_headers.append(("Server-Limit", self.rate_limit))
+                self.arrivals.append((asyncio.get_running_loop().time(), headers.get("x-request-id", "")))
             if self.behaviour == "paused":
                 self.arrivals.append((asyncio.get_running_loop().time(), headers.get("x-request-id", "")))
                 writer.write(response(503, headers=own_headers + [("X-Not-Executed", "1"), ("Retry-After", str(self.retry_after))]))
