--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
@@ -73,6 +73,7 @@
     }
     std::sort(announcers.begin(), announcers.end());
     std::vector<StoreSource> sources;
+    sources.reserve(announcers.size() + ranked.size() + 2);
     for (const auto& [score, instance] : announcers)
         sources.push_back(instance);
     for (const auto& source : ranked) {
