Tell the coordinator when the second reply to a waiting request at a rate-limited server is lost

The early return for rate-limited servers left the request counted at the coordinator until the next report. Found by reading the code; not met in a run.

--- a/modules/borageslip_traffic/limits/ReservationWaitList.cpp
+++ b/modules/borageslip_traffic/limits/ReservationWaitList.cpp
@@ -92,6 +92,7 @@
 std::vector<uint64_t> ReservationWaitList::servers() const
 {
     std::vector<uint64_t> hashes;
+    hashes.reserve(m_waiting.size());
     for (const auto& [server, list] : m_waiting)
         hashes.push_back(server);
     return hashes;
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -549,7 +549,9 @@
     const auto now = m_engine.clock().now();
     if (const auto limit = server.allowance().rateLimit(now); limit && outcome != ReservationOutcome::Granted) {
         server.deferUntil(now + rateDeferral(*limit), demand.prefix.tokens);
-        return { ReservationOutcome::Denied };
+        // Without a reply, nobody knows how much of the rate limit is left.
+        if (!reply)
+            return { ReservationOutcome::Denied };
     }
     if (!reply) {
         const ServerUsage known { server.hash(), static_cast<uint32_t>(std::max(0, server.inFlight() - 1)), static_cast<uint64_t>(std::max<int64_t>(0, server.pendingPrefill() - demand.promptTokens)) };
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -35,6 +35,7 @@
     std::vector<RateLimitRow> rateLimitsFrom(const nlohmann::json& rows)
     {
         std::vector<RateLimitRow> limits;
+        limits.reserve(rows.size());
         for (const auto& row : rows)
             limits.push_back({ row[0], row[1], std::chrono::milliseconds(row[2].get<int64_t>()) });
         return limits;
