--- a/tests/borageslip_traffic/ConfigurationRefreshTests.cpp
+++ b/tests/borageslip_traffic/ConfigurationRefreshTests.cpp
@@ -17,7 +17,6 @@
 
 constexpr Duration step = 5ms;
 constexpr Duration pollInterval = 600ms;
-constexpr Duration pollPatience = 1700ms;
 constexpr Duration readPatience = 1200ms;
 constexpr Duration synRetransmission = 1000ms;
 constexpr Duration answerTime = 15ms; ///< Of a source without a fault, with the pauses of a small processor share.
