--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
@@ -83,7 +83,10 @@
     // A call of the store costs more than one of an instance.
     const bool isStoreSecond = m_isValueOmitted || isOutdated(knowledge, now) || announcers.size() < 2;
     const auto position = std::min<size_t>(sources.size(), isStoreSecond ? 1 : 2);
-    sources.insert(sources.begin() + static_cast<std::ptrdiff_t>(position), std::nullopt);
+    // When the store fails, all instances ask it besides their polls.
+    const bool asksStore = m_failedRounds % 2 == 0;
+    if (asksStore)
+        sources.insert(sources.begin() + static_cast<std::ptrdiff_t>(position), std::nullopt);
     if (polled)
         sources.push_back(polled);
     return sources;
