--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -72,6 +72,7 @@
         self.watches = {}  # By machine: number of watch calls.
         self.lose_put_answers = 0  # For so many writes with a lease: no answer, carried out `late_by` seconds later.
         self.late_by = 0.0
+        self.is_down = False  # Answers 503 to every call: nothing was done.
         self.on_event = lambda text: None
 
     def _record(self, event):
@@ -126,6 +127,8 @@
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
         call, number = url.path.split("/")[2], url.path.split("/")[-1]
+        if self.is_down:
+            return answer_bytes(503)
         self._expire()
         if call == "kv-range":
             items = [item for key, item in sorted(self.items.items()) if key.startswith(query["path_prefix"]) and key > query.get("after", "")]
