--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -432,6 +432,7 @@
             await instance.kill()
         for task in getattr(self, "tasks", []):
             task.cancel()
+        await asyncio.gather(*getattr(self, "tasks", []), return_exceptions=True)
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
