--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,88 +1,115 @@
-"""The answer of one write at an instance's start is lost and the write is carried out late. After a planned restart of the
-other machines and a calm time, a worker names a rate limit: one instance may grant its requests, not two."""
+"""The store is down until keys can't be verified; clients ask with HEAD on kept channels. What comes on a channel must be
+answers in the protocol, each to the request before it."""
 import asyncio
-import json
 import pathlib
-import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support"))
-from harness import BOUNDS, TROUBLE, Deployment, Worker, ask, configuration, play, route  # noqa: E402
+from harness import TROUBLE, Deployment, Worker, answer_bytes, configuration, play, route  # noqa: E402
 
-LATE_S = 2.0  # The platform carries a lost write out 1 to 6 s later.
-LIMIT = 6  # Requests a second that each worker takes from all machines together.
-STREAMS_PER_S = 30  # Half of them at the first machine.
-LIMITED_S = 16
-WINDOW_S = 4
+PLAY_S = 25
+DOWN_FROM_S, DOWN_FOR_S = 5, 8
+CLIENTS = 9
+PAUSE_S = 0.25
+
+
+class HeadWorker(Worker):
+    """Answers GET, and HEAD with the head that GET would get."""
+
+    async def _serve(self, reader, writer):
+        from harness import read_message
+        try:
+            while (message := await read_message(reader)) is not None:
+                line, headers, _ = message
+                if headers.get("x-expect-instance", self.identity) != self.identity:
+                    writer.write(answer_bytes(421, b"", [("X-Not-Executed", "1"), *self.own_headers(headers)]))
+                    continue
+                self.arrivals.append((time.monotonic(), headers.get("x-request-id", ""), headers))
+                await asyncio.sleep(self.work_s)
+                whole = answer_bytes(200, b"stock of " + headers.get("x-request-id", "").encode(), self.own_headers(headers))
+                writer.write(whole.partition(b"\r\n\r\n")[0] + b"\r\n\r\n" if line.startswith("HEAD ") else whole)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        writer.close()
+
+
+class Client:
+    """Keeps one channel; asks by turns with HEAD and GET. By the HTTP standard, no answer to HEAD has a body."""
+
+    def __init__(self, instance, number, record):
+        self.instance, self.number, self.record = instance, number, record
+        self.channel = None
+        self.statuses, self.wrong = {}, []
+
+    async def ask(self, method, identity):
+        if self.channel is None:
+            self.channel = await asyncio.open_connection(self.instance.address, self.instance.front)
+        reader, writer = self.channel
+        writer.write(f"{method} /stock/1 HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: {identity}\r\nX-Deadline-Ms: 1000\r\nApi-Key: key-1\r\n\r\n".encode())
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        if not head.startswith("HTTP/1.1 "):
+            self.wrong.append(identity)
+            self.record.write(f"client {self.number}: what came as the answer to {method} {identity} begins with {head[:60]!r}")
+            self.close()
+            return
+        fields = {name.strip().lower(): text.strip() for name, _, text in (line.partition(":") for line in head.split("\r\n")[1:] if ":" in line)}
+        status = int(head.split(" ")[1])
+        body = b"" if method == "HEAD" else await reader.readexactly(int(fields.get("content-length", "0")))
+        self.statuses[(method, status)] = self.statuses.get((method, status), 0) + 1
+        self.record.write(f"client {self.number}: {method} {identity} answered {status}, {len(body)} bytes of body, announced {fields.get('content-length')}")
+        if fields.get("connection", "").lower() == "close":
+            self.close()
+
+    def close(self):
+        if self.channel is not None:
+            self.channel[1].close()
+        self.channel = None
+
+    async def run(self, until):
+        turn = 0
+        while time.monotonic() < until:
+            turn += 1
+            try:
+                await asyncio.wait_for(self.ask("HEAD" if turn % 2 else "GET", f"c{self.number}-{turn}"), 3)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as problem:
+                self.record.write(f"client {self.number}: no answer: {problem!r}")
+                self.close()
+            await asyncio.sleep(PAUSE_S)
+        self.close()
 
 
 async def case(record):
     zones = ["zone-a", "zone-b", "zone-c"]
-    deployment = Deployment(record, zones, 2)
-    workers = [Worker(f"i-engine-{number}", "redactor", zones[number], 96) for number in range(2)]
-    statuses, number = {}, 0
+    deployment = Deployment(record, zones, 1)
+    workers = [HeadWorker(f"i-app-{number}", "despacho", zones[number], 6) for number in range(3)]
     try:
         for worker in workers:
-            worker.events, worker.event_gap_s = 3, 0.02
             await worker.listen()
             deployment.store.put_json(f"servers/{worker.identity}", worker.entry())
-        deployment.store.put_json("op/config", configuration(3, [
-            route("resumen", "streaming", "redactor", timeout_ms=4000, target_latency_ms=1200, sticky=True, gap_target_ms=400),
-        ], ["redactor"]))
-        if TROUBLE:
-            deployment.store.lose_put_answers, deployment.store.late_by = 1, LATE_S
+        deployment.store.put_json("op/config", configuration(3, [route("stock", "idempotent", "despacho", max_attempts=2)], ["despacho"]))
         await deployment.start()
         deployment.tasks.append(asyncio.create_task(deployment.beat(workers)))
-        members = {key for key in deployment.store.items if not key.startswith(("op/", "servers/"))}
-        record.write(f"keys of the instances in the store: {sorted(members)}")
-        await asyncio.sleep(9)
-        listed = {key for key in deployment.store.items if not key.startswith(("op/", "servers/"))}
-        record.write(f"keys of the instances in the store: {sorted(listed)}")
-        unlisted = [instance for instance in deployment.instances if not any(key.endswith(instance.name) for key in listed)]
-        first = (unlisted or deployment.instances)[0]
-        others = [instance for instance in deployment.instances if instance is not first]
-        for instance in others:
-            instance.signal(signal.SIGTERM)
-            await asyncio.wait_for(instance.process.wait(), BOUNDS["grace_s"])
-            await instance.start()
-            await deployment.wait_ready([instance])
-            record.write(f"{instance.name} was stopped and started again, as planned")
-        await asyncio.sleep(2 * BOUNDS["contact_ms"] / 1000)
-        for instance in deployment.instances:
-            status, body = await instance.get(instance.directory, "/borageslip/resolve?name=app.example&region=region&zone=zone-a")
-            record.say(f"{instance.name} ready={await instance.is_ready()} names {len(json.loads(body)['addresses']) if status == 200 else 0} addresses to clients, {'with' if first.address + ':' in body.decode() else 'without'} that of {first.name}")
-        for worker in workers:
-            worker.extra_headers = (("Server-Limit", str(LIMIT)),)
-            worker.arrivals.clear()
-        record.write(f"both workers name Server-Limit: {LIMIT}")
-
-        async def stream(instance, identity, sequence):
-            headers = ["X-Model: m", "X-Token-Usage: 2401,24", f"X-Prompt-Prefix: a1:341,{0xb000 + sequence % 57:x}:1700,{sequence:x}:360", "Accept: text/event-stream"]
-            answer = await ask(instance, "POST", "/resumen/1", identity, headers, b"x" * 4700, deadline_ms=4000)
-            statuses[answer.status] = statuses.get(answer.status, 0) + 1
-
-        begun, asked = time.monotonic(), []
-        while time.monotonic() - begun < LIMITED_S:
-            number += 1
-            instance = first if number % 2 else others[number // 2 % len(others)]
-            asked.append(asyncio.create_task(stream(instance, f"{instance.name}-{number}", number)))
-            await asyncio.sleep(1 / STREAMS_PER_S)
-        await asyncio.gather(*asked)
-        allowed = 1.5 * LIMIT * WINDOW_S + 5
-        worst = 0
-        for worker in workers:
-            times = sorted(at for at, _, _ in worker.arrivals)
-            for at, identity, _ in worker.arrivals:
-                record.write(f"{worker.identity} got {identity} at {at - record.begun:.3f}")
-            counted = [at for at in times if at >= times[0] + BOUNDS["contact_ms"] / 1000]
-            most = max((sum(1 for other in counted if at <= other < at + WINDOW_S) for at in counted), default=0)
-            worst = max(worst, most)
-            record.say(f"{worker.identity}: at most {most} requests in {WINDOW_S} s from contact_ms after it first named {LIMIT} a second; allowed {allowed:.0f}")
-        record.say(f"streams sent {number}, answers by status {statuses}")
-        return worst > allowed
+        clients = [Client(deployment.instances[number % 3], number, record) for number in range(CLIENTS)]
+        running = [asyncio.create_task(client.run(time.monotonic() + PLAY_S)) for client in clients]
+        await asyncio.sleep(DOWN_FROM_S)
+        if TROUBLE:
+            record.write(f"the store is down for {DOWN_FOR_S} s: it answers 503 to every call")
+            deployment.store.is_down = True
+        await asyncio.sleep(DOWN_FOR_S)
+        deployment.store.is_down = False
+        record.write("the store answers")
+        await asyncio.gather(*running)
+        statuses = {}
+        for client in clients:
+            for key, count in client.statuses.items():
+                statuses[key] = statuses.get(key, 0) + count
+        wrong = sum(len(client.wrong) for client in clients)
+        record.say(f"answers by method and status: {statuses}; bytes that are no answer: {wrong} times")
+        return wrong > 0
     finally:
         await deployment.stop()
 
 
-sys.exit(play(pathlib.Path(__file__).parent, case, 115))
+sys.exit(play(pathlib.Path(__file__).parent, case, 100))
