--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,113 +1,132 @@
-"""The store is down until keys can't be verified; clients ask with HEAD on kept channels. What comes on a channel must be
-answers in the protocol, each to the request before it."""
+"""A worker turns slow: its streams have begun with their head, and the first event comes later than the route's timeout.
+Requests that are unanswered at the timeout must get an answer within half a second, not only a closed channel."""
 import asyncio
 import pathlib
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support"))
-from harness import TROUBLE, Deployment, Worker, answer_bytes, configuration, play, route  # noqa: E402
+from harness import TROUBLE, Deployment, Worker, configuration, play, route  # noqa: E402
 
-PLAY_S = 25
-DOWN_FROM_S, DOWN_FOR_S = 5, 8
-CLIENTS = 9
-PAUSE_S = 0.25
+PLAY_S = 40
+SLOW_AT_S, SLOW_FOR_S, SLOW_X = (6, 22), 6.5, 5
+FIRST_EVENT_S = 0.8  # The objective is 1.2 s.
+TIMEOUT_MS, TIME_LIMIT_MS = 3000, 4000  # The route's timeout, and how long clients wait.
+CLIENTS = 36
+PAUSE_S = 0.6
 
 
-class HeadWorker(Worker):
-    """Answers GET, and HEAD with the head that GET would get."""
+class HeadFirstWorker(Worker):
+    """Sends the head of a stream when it takes the request, and events as they are made. Stops at its time limit."""
 
-    async def _serve(self, reader, writer):
-        from harness import read_message
-        try:
-            while (message := await read_message(reader)) is not None:
-                line, headers, _ = message
-                if headers.get("x-expect-instance", self.identity) != self.identity:
-                    writer.write(answer_bytes(421, b"", [("X-Not-Executed", "1"), *self.own_headers(headers)]))
-                    continue
-                self.arrivals.append((time.monotonic(), headers.get("x-request-id", ""), headers))
-                await asyncio.sleep(self.work_s)
-                whole = answer_bytes(200, b"stock of " + headers.get("x-request-id", "").encode(), self.own_headers(headers))
-                writer.write(whole.partition(b"\r\n\r\n")[0] + b"\r\n\r\n" if line.startswith("HEAD ") else whole)
-                await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        writer.close()
+    slowness = 1
 
+    async def _stream(self, headers, writer):
+        lines = "".join(f"{name}: {text}\r\n" for name, text in [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *self.own_headers(headers)])
+        writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+        await writer.drain()
+        await asyncio.sleep(FIRST_EVENT_S * self.slowness)
+        for number in range(1, 6):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.03)
+        writer.write(b"0\r\n\r\n")
 
-class Client:
-    """Keeps one channel; asks by turns with HEAD and GET. By the HTTP standard, no answer to HEAD has a body."""
 
+class Client:
     def __init__(self, instance, number, record):
         self.instance, self.number, self.record = instance, number, record
-        self.channel = None
-        self.statuses, self.wrong = {}, []
+        self.channel, self.served = None, 0
+        self.answers, self.closed = {}, []
+        self.overdue = []  # Requests unanswered at the route's timeout: whether an answer came within half a second.
 
-    async def ask(self, method, identity):
+    async def ask(self, identity):
         if self.channel is None:
             self.channel = await asyncio.open_connection(self.instance.address, self.instance.front)
+            self.served = 0
         reader, writer = self.channel
-        writer.write(f"{method} /stock/1 HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: {identity}\r\nX-Deadline-Ms: 1000\r\nApi-Key: key-1\r\n\r\n".encode())
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        if not head.startswith("HTTP/1.1 "):
-            self.wrong.append(identity)
-            self.record.write(f"client {self.number}: what came as the answer to {method} {identity} begins with {head[:60]!r}")
-            self.close()
-            return
-        fields = {name.strip().lower(): text.strip() for name, _, text in (line.partition(":") for line in head.split("\r\n")[1:] if ":" in line)}
-        status = int(head.split(" ")[1])
-        body = b"" if method == "HEAD" else await reader.readexactly(int(fields.get("content-length", "0")))
-        self.statuses[(method, status)] = self.statuses.get((method, status), 0) + 1
-        self.record.write(f"client {self.number}: {method} {identity} answered {status}, {len(body)} bytes of body, announced {fields.get('content-length')}")
-        if fields.get("connection", "").lower() == "close":
-            self.close()
-
-    def close(self):
-        if self.channel is not None:
-            self.channel[1].close()
-        self.channel = None
+        sequence = int(identity.split("-")[1]) + 1000 * self.number
+        lines = ["POST /resumen/1 HTTP/1.1", "Host: app.example", f"X-Request-Id: {identity}", f"X-Deadline-Ms: {TIME_LIMIT_MS}", "Api-Key: key-1", "X-Model: m", "X-Token-Usage: 2401,24",
+                 f"X-Prompt-Prefix: a1:341,{0xb000 + sequence % 57:x}:1700,{sequence + 0x100000:x}:360", "Content-Length: 4700"]
+        begun = time.monotonic()
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + b"x" * 4700)
+        seen, first_after = b"", None
+        try:
+            while not seen.endswith(b"\r\n0\r\n\r\n"):
+                data = await asyncio.wait_for(reader.read(65536), TIME_LIMIT_MS / 1000 - (time.monotonic() - begun))
+                if not data:
+                    break
+                first_after = first_after if first_after is not None else time.monotonic() - begun
+                seen += data
+                if b"\r\n\r\n" in seen and b"content-length" in seen.lower():
+                    break
+        except (asyncio.TimeoutError, ConnectionError):
+            pass
+        after = time.monotonic() - begun
+        status = int(seen.split(b" ")[1]) if seen else 0
+        if first_after is None or first_after > TIMEOUT_MS / 1000:
+            self.overdue.append(first_after is not None and first_after <= TIMEOUT_MS / 1000 + 0.5)
+        self.answers[status] = self.answers.get(status, 0) + 1
+        if not seen and after < TIME_LIMIT_MS / 1000 - 0.05:
+            self.closed.append((identity, self.served))
+            self.record.write(f"client {self.number}: {identity} sent to {self.instance.name} as request {self.served + 1} of its channel; the channel was closed after {after:.3f} s without an answer")
+        else:
+            self.record.write(f"client {self.number}: {identity} answered {status} after {after:.3f} s, {len(seen)} bytes")
+        self.served += 1
+        if status != 200 or not seen.endswith(b"\r\n0\r\n\r\n"):
+            writer.close()
+            self.channel = None
 
     async def run(self, until):
         turn = 0
+        await asyncio.sleep(self.number * 0.04)
         while time.monotonic() < until:
             turn += 1
-            try:
-                await asyncio.wait_for(self.ask("HEAD" if turn % 2 else "GET", f"c{self.number}-{turn}"), 3)
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as problem:
-                self.record.write(f"client {self.number}: no answer: {problem!r}")
-                self.close()
+            await self.ask(f"c{self.number}-{turn}")
             await asyncio.sleep(PAUSE_S)
-        self.close()
+        if self.channel is not None:
+            self.channel[1].close()
 
 
 async def case(record):
     zones = ["zone-a", "zone-b", "zone-c"]
     deployment = Deployment(record, zones, 1)
-    workers = [HeadWorker(f"i-app-{number}", "despacho", zones[number], 6) for number in range(3)]
+    workers = [HeadFirstWorker(f"i-engine-{number}", "redactor", zones[number % 3], 96) for number in range(9)]
     try:
         for worker in workers:
             await worker.listen()
             deployment.store.put_json(f"servers/{worker.identity}", worker.entry())
-        deployment.store.put_json("op/config", configuration(3, [route("stock", "idempotent", "despacho", max_attempts=2)], ["despacho"]))
+        deployment.store.put_json("op/config", configuration(3, [
+            route("resumen", "streaming", "redactor", timeout_ms=TIMEOUT_MS, target_latency_ms=1200, sticky=True, gap_target_ms=400),
+        ], ["redactor"]))
         await deployment.start()
         deployment.tasks.append(asyncio.create_task(deployment.beat(workers)))
+        begun = time.monotonic()
         clients = [Client(deployment.instances[number % 3], number, record) for number in range(CLIENTS)]
-        running = [asyncio.create_task(client.run(time.monotonic() + PLAY_S)) for client in clients]
-        await asyncio.sleep(DOWN_FROM_S)
-        if TROUBLE:
-            record.write(f"the store is down for {DOWN_FOR_S} s: it answers 503 to every call")
-            deployment.store.is_down = True
-        await asyncio.sleep(DOWN_FOR_S)
-        deployment.store.is_down = False
-        record.write("the store answers")
+        running = [asyncio.create_task(client.run(begun + PLAY_S)) for client in clients]
+        for number, at in enumerate(SLOW_AT_S):
+            await asyncio.sleep(max(0, begun + at - time.monotonic()))
+            slow = workers[4 + number]
+            if TROUBLE:
+                slow.slowness = SLOW_X
+                record.write(f"{slow.identity} works {SLOW_X} times as long for {SLOW_FOR_S} s")
+            await asyncio.sleep(SLOW_FOR_S)
+            slow.slowness = 1
         await asyncio.gather(*running)
-        statuses = {}
+        ran = {identity: worker.identity for worker in workers for _, identity, _ in worker.arrivals}
+        answers, counted = {}, []
         for client in clients:
-            for key, count in client.statuses.items():
-                statuses[key] = statuses.get(key, 0) + count
-        wrong = sum(len(client.wrong) for client in clients)
-        record.say(f"answers by method and status: {statuses}; bytes that are no answer: {wrong} times")
-        return wrong > 0
+            for status, count in client.answers.items():
+                answers[status] = answers.get(status, 0) + count
+            counted += [identity for identity, served in client.closed if served > 0 and identity in ran]
+        for identity in counted:
+            record.write(f"{identity} had been passed on to {ran[identity]}")
+        record.say(f"requests by status of the answer (0: none): {answers}")
+        overdue = [is_answered for client in clients for is_answered in client.overdue]
+        record.say(f"requests unanswered at their route's timeout: {len(overdue)}, of these without an answer half a second later: {overdue.count(False)} (allowed: half)")
+        record.say(f"kept channels closed without an answer to a request that had been passed on: {len(counted)}")
+        return len(overdue) >= 8 and overdue.count(False) > len(overdue) / 2
     finally:
         await deployment.stop()
 
