Log suspects that are cleared and crashes that are not counted

Change: a line for each cleared suspect with its crashes, and one for each check that found no crash.

--- a/modules/borageslip_traffic/quarantine/CrashDetector.cpp
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -58,6 +58,8 @@
     auto connection = std::make_shared<ServerConnection>(m_executor);
     const auto failure = co_await ConnectionPool::openSocket(connection, server->pool().endpoint(), connectLimit);
     running->hasCrashed = failure == asio::error::connection_refused;
+    if (!running->hasCrashed)
+        logEvent(Severity::Info, "crash-not-counted", { { "server", server->description().id }, { "suspects", running->suspects.size() }, { "reason", failure ? "no answer to a new connection" : "the server accepts connections" }, { "detail", failure.message() } });
 }
 
 void CrashDetector::endCheck(const BackendServer& server, Check& ended)
--- a/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
@@ -132,7 +132,10 @@
 
 void PromptQuarantine::clearPart(const PartKey& key)
 {
-    m_suspects.erase(key);
+    if (const auto suspect = m_suspects.find(key); suspect != m_suspects.end()) {
+        logEvent(Severity::Info, "suspect-cleared", { { "part", fingerprintJson({ key.first, { key.second } }) }, { "crashes", suspect->second.crashes } });
+        m_suspects.erase(suspect);
+    }
     if (m_cleared.size() >= maxCleared)
         m_cleared.erase(std::min_element(m_cleared.begin(), m_cleared.end(), [](const auto& first, const auto& second) { return first.second < second.second; }));
     m_cleared[key] = m_clock.now();
