Bound the received bytes that no parser has consumed

Cause: the parsers bound a head, but neither the size line of a chunk nor the trailer fields; they ask for more bytes and consume none. A response beyond it is lost: its connection is closed, the server counts as failed, and the request as one that may have run. A request beyond it gets 400.

--- a/modules/borageslip_traffic/http/HttpMessages.cpp
+++ b/modules/borageslip_traffic/http/HttpMessages.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+    constexpr size_t maxControlBytes = 16 * 1024; ///< Of a chunk's size line or the trailer fields, which are parsed only once they are complete.
+    constexpr int maxInterimResponses = 16; ///< Before one response.
+
     std::string_view viewOf(boost::beast::string_view text)
     {
         return { text.data(), text.size() };
@@ -24,10 +27,13 @@
             return { ErrorKind::HeaderTooLarge, "the header exceeds the configured limit" };
         if (failure == http::error::body_limit)
             return { ErrorKind::RequestTooLarge, "the body exceeds the configured limit" };
+        if (failure == http::error::buffer_overflow)
+            return { ErrorKind::MalformedRequest, "the size line of a chunk or the trailer fields are too long" };
         return { ErrorKind::MalformedRequest, failure.message() };
     }
 
-    /** Feeds bytes to a parser until it is done, needs more input or fails; removes the consumed bytes. */
+    /** Feeds bytes to a parser until it is done, needs more input or fails; removes the consumed bytes. Fails also if what
+        the parser cannot consume yet is too long. */
     template <typename Parser>
     boost::beast::error_code feedParser(Parser& parser, std::string& bytes)
     {
@@ -42,6 +48,9 @@
         bytes.erase(0, consumed);
         if (failure == http::error::need_more)
             failure = {};
+        // The parser bounds an incomplete head itself.
+        if (!failure && parser.is_header_done() && !parser.is_done() && bytes.size() > maxControlBytes)
+            failure = http::error::buffer_overflow;
         return failure;
     }
 
@@ -111,6 +120,8 @@
         const bool isInterim = m_parser->is_header_done() && m_parser->get().result_int() / 100 == 1;
         if (!isInterim)
             return ok();
+        if (++m_interimResponses > maxInterimResponses)
+            return Error { ErrorKind::InvalidMessage, "too many interim responses" };
         resetParser();
     }
 }
--- a/modules/borageslip_traffic/http/HttpMessages.h
+++ b/modules/borageslip_traffic/http/HttpMessages.h
@@ -27,7 +27,7 @@
 public:
     RequestReader(uint32_t maxHeaderBytes, uint64_t maxBodyBytes);
 
-    /** Parses as much as possible and removes the parsed bytes from `bytes`.
+    /** Parses as much as possible and removes the parsed bytes from `bytes`. What remains is bounded.
         Errors: MalformedRequest, HeaderTooLarge, RequestTooLarge. */
     Status feed(std::string& bytes);
 
@@ -60,7 +60,7 @@
     explicit ResponseReader(Body);
 
     /** Parses as much as possible and removes the parsed bytes from `bytes`. Bytes after the end of the response are
-        kept. Errors: InvalidMessage if the bytes are not a valid response. */
+        kept; before its end, what remains is bounded. Errors: InvalidMessage if the bytes are not a valid response. */
     Status feed(std::string& bytes);
 
     /** To be called when the server closed the connection cleanly. Errors: InvalidMessage if the response is
@@ -86,6 +86,7 @@
 
     Body m_body;
     std::optional<Parser> m_parser;
+    int m_interimResponses = 0;
 };
 
 /** Whether the header field is hop-by-hop or describes the framing, and is therefore not forwarded. */
--- a/tests/borageslip_traffic/HttpMessagesTests.cpp
+++ b/tests/borageslip_traffic/HttpMessagesTests.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <random>
+#include <string>
+#include <vector>
 
 using namespace borageslip;
 
@@ -119,6 +121,58 @@
     CHECK(reader.head().result_int() == 204);
 }
 
+// Guards against a server or caller that takes the process over its memory limit by a chunk line or trailer without end.
+TEST_CASE("the bytes of a message that a parser cannot consume yet are bounded")
+{
+    const std::string chunked = "Host: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    constexpr size_t maxUnparsed = 64 * 1024;
+    for (const auto& begin : std::vector<std::string> { "", "5;", "0\r\n", "0\r\nX-Long: ", "3\r\nabc\r\n" }) {
+        for (const auto& block : std::vector<std::string> { std::string(1000, '0'), "X-Long: " + std::string(1000, 'x') + "\r\n" }) {
+            if (begin.empty() && block.starts_with('X'))
+                continue;
+            INFO("begin " << begin << " block " << block.substr(0, 8));
+            ResponseReader response(ResponseReader::Body::Expected);
+            RequestReader request(maxHeader, maxUnparsed);
+            std::string responseBytes = "HTTP/1.1 200 OK\r\n" + chunked + begin;
+            std::string requestBytes = "POST /a/ HTTP/1.1\r\n" + chunked + begin;
+            bool isResponseCut = false;
+            bool isRequestCut = false;
+            for (int i = 0; i < 1000; ++i) {
+                isResponseCut = isResponseCut || !isOk(response.feed(responseBytes));
+                isRequestCut = isRequestCut || !isOk(request.feed(requestBytes));
+                CHECK((isResponseCut || responseBytes.size() < maxUnparsed));
+                CHECK((isRequestCut || requestBytes.size() < maxUnparsed));
+                responseBytes += block;
+                requestBytes += block;
+            }
+            CHECK(isResponseCut);
+            CHECK(isRequestCut);
+        }
+    }
+}
+
+TEST_CASE("a chunk extension and trailer fields of an ordinary length are accepted")
+{
+    ResponseReader reader(ResponseReader::Body::Expected);
+    std::string buffer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;" + std::string(4000, 'x') + "\r\nabc\r\n0\r\nX-Late: " + std::string(4000, 'x') + "\r\n\r\n";
+    REQUIRE(isOk(reader.feed(buffer)));
+    CHECK(reader.isDone());
+    CHECK(reader.takeBody() == "abc");
+}
+
+// Guards against interim responses without end, which keep a request and its connection occupied.
+TEST_CASE("the interim responses before a response are bounded")
+{
+    ResponseReader reader(ResponseReader::Body::Expected);
+    std::string buffer;
+    bool isCut = false;
+    for (int i = 0; i < 100; ++i) {
+        buffer += "HTTP/1.1 100 Continue\r\n\r\n";
+        isCut = isCut || !isOk(reader.feed(buffer));
+    }
+    CHECK(isCut);
+}
+
 TEST_CASE("parsers of bytes from callers, servers and peers tolerate arbitrary bytes")
 {
     std::minstd_rand random(20261204);
--- /dev/null
+++ b/tests/platform/StoreClientTests.cpp
@@ -0,0 +1,56 @@
+#include "../../platform/StoreClient.h"
+
+#include <borageslip_traffic/net/SpawnTask.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace borageslip;
+using namespace borageslip::platform;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr size_t maxFloodBytes = 64 * 1024 * 1024;
+constexpr size_t socketBufferBytes = 16 * 1024 * 1024; ///< More than the kernel holds for one connection.
+
+/** Accepts one connection and writes a response without end. Returns the number of bytes that were taken. */
+asio::awaitable<void> flood(tcp::acceptor& acceptor, std::string begin, size_t& taken)
+{
+    boost::system::error_code failure;
+    auto socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+    std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + begin;
+    while (!failure && taken < maxFloodBytes) {
+        taken += co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failure));
+        bytes.assign(64 * 1024, 'x');
+    }
+}
+
+}
+
+// Guards against a store or another instance that takes the process over its memory limit by a line without end.
+TEST_CASE("a call of the store fails when its response has a line without end")
+{
+    for (const auto& begin : std::vector<std::string> { "5;", "0\r\nX-Long: " }) {
+        asio::io_context context;
+        tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+        StoreCallCounts counts;
+        StoreClient client(context.get_executor(), acceptor.local_endpoint(), counts);
+        size_t taken = 0;
+        bool hasFailed = false;
+        spawnTask(context.get_executor(), "flood", [&] { return flood(acceptor, begin, taken); });
+        spawnTask(context.get_executor(), "call", [&]() -> asio::awaitable<void> {
+            const auto page = co_await client.range("servers/", "");
+            hasFailed = !isOk(page);
+        });
+        context.run_for(20s);
+        INFO("begin " << begin << " taken " << taken);
+        CHECK(hasFailed);
+        CHECK(taken < socketBufferBytes);
+    }
+}
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -5,6 +5,7 @@
 """
 import argparse
 import asyncio
+import itertools
 import json
 import pathlib
 import random
@@ -15,7 +16,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from platform_standin import ENDLESS, BackendServer, Store, configuration, settings, start_server  # noqa: E402
+from platform_standin import ENDLESS, MAX_FLOOD_BYTES, BackendServer, Store, configuration, settings, start_server  # noqa: E402
 
 failures = []
 
@@ -530,10 +531,11 @@
 
 async def check_endless_answers(fleet):
     """Guards against unbounded memory use when a faulty server sends an endless malformed response."""
-    for behaviour in ENDLESS:
+    for path, behaviour in itertools.product(("/book/a", "/once/stream/a"), ENDLESS):
         fleet.set_behaviour(behaviour)
         before = resident_bytes(fleet.entry.process)
-        answer = await fleet.entry.ask("/book/a", "POST", body=b"x", identity=f"r-{behaviour}")
+        answer = await fleet.entry.ask(path, "POST", body=b"x", identity=f"r-{behaviour}")
+        behaviour = f"{behaviour} {path}"
         await asyncio.sleep(0.1)
         flooding = [server for server in fleet.servers if server.flooded_bytes > 0]
         growth = resident_bytes(fleet.entry.process) - before
@@ -546,6 +548,28 @@
     check("the instance serves requests afterwards", await fleet.entry.wait_until(lambda: status_is(fleet.entry, "/read/a", 200), 10))
 
 
+async def check_endless_requests(fleet):
+    """Guards against unbounded memory use when a caller's request has a chunk line or trailer fields without end."""
+    head = "POST /book/a HTTP/1.1\r\nHost: app.example\r\nApi-Key: key-1\r\nX-Request-Id: r-endless\r\nX-Deadline-Ms: 1500\r\nTransfer-Encoding: chunked\r\n\r\n"
+    for port, begin in itertools.product((fleet.entry.front, fleet.entry.ready), (b"5;", b"0\r\nX-Long: ")):
+        before = resident_bytes(fleet.entry.process)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head.encode() + begin)
+        sent, was_disconnected = 0, False
+        try:
+            while sent < MAX_FLOOD_BYTES:
+                writer.write(b"x" * 4096)
+                sent += 4096
+                await asyncio.wait_for(writer.drain(), 5)
+        except ConnectionError:
+            was_disconnected = True
+        writer.close()
+        growth = resident_bytes(fleet.entry.process) - before
+        name = f"{'front' if port == fleet.entry.front else 'ready'} {begin[:2]}"
+        check(f"an endless request is cut off ({name})", was_disconnected, sent)
+        check(f"an endless request does not use unbounded memory ({name})", growth < 4 * 1024 * 1024, growth)
+
+
 async def check_store_outage(fleet):
     fleet.set_behaviour("sound")
     store, entry = fleet.store, fleet.entry
@@ -634,7 +658,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.wait_until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_slow_streams, check_leaving_server, check_paused_server, check_endless_answers, check_metrics, check_store_outage, check_stop, check_explain):
+            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_slow_streams, check_leaving_server, check_paused_server, check_endless_answers, check_endless_requests, check_metrics, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -161,13 +161,18 @@
 
 MAX_FLOOD_BYTES = 64 * 1024 * 1024
 
-# By behaviour: status, header fields, and the bytes that are repeated without end.
+# By behaviour: status, header fields, the bytes that follow the head (None: the head does not end), and the bytes that are
+# repeated without end.
 ENDLESS = {
-    "endless-head": (200, [], b"X-Long: " + b"x" * 1000 + b"\r\n"),
-    "endless-line": (200, [], b"x" * 4096),
-    "endless-body-of-another": (200, [("X-Request-Id", "another"), ("Transfer-Encoding", "chunked\r\n")], b"1000\r\n" + b"x" * 4096 + b"\r\n"),
-    "endless-refusal": (503, [("X-Not-Executed", "1"), ("Transfer-Encoding", "chunked\r\n")], b"1000\r\n" + b"x" * 4096 + b"\r\n"),
-    "endless-chunk-line": (200, [("Transfer-Encoding", "chunked\r\n\r\n5;")], b"x" * 4096),
+    "endless-head": (200, [], None, b"X-Long: " + b"x" * 1000 + b"\r\n"),
+    "endless-line": (200, [], None, b"x" * 4096),
+    "endless-body-of-another": (200, [("X-Request-Id", "another"), ("Transfer-Encoding", "chunked")], b"", b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "endless-refusal": (503, [("X-Not-Executed", "1"), ("Transfer-Encoding", "chunked")], b"", b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "endless-chunk-line": (200, [("Transfer-Encoding", "chunked")], b"5;", b"x" * 4096),
+    "endless-chunk-size": (200, [("Transfer-Encoding", "chunked")], b"", b"0" * 4096),
+    "endless-trailer-fields": (200, [("Transfer-Encoding", "chunked")], b"0\r\n", b"X-Long: " + b"x" * 1000 + b"\r\n"),
+    "endless-trailer-line": (200, [("Transfer-Encoding", "chunked")], b"0\r\nX-Long: ", b"x" * 4096),
+    "endless-interim": (100, [], b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
 }
 
 
@@ -305,11 +310,11 @@
 
     async def _flood(self, own_headers, writer):
         """Writes an endless response until the peer closes the connection, at most MAX_FLOOD_BYTES."""
-        status, fields, block = ENDLESS[self.behaviour]
+        status, fields, begin, block = ENDLESS[self.behaviour]
         head = f"HTTP/1.1 {status} X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in (own_headers if "X-Request-Id" not in dict(fields) else []) + list(fields))
         self.flooded_bytes, self.was_disconnected = 0, False
         try:
-            writer.write(head.encode())
+            writer.write(head.encode() + (b"" if begin is None else b"\r\n" + begin))
             while self.flooded_bytes < MAX_FLOOD_BYTES:
                 writer.write(block)
                 self.flooded_bytes += len(block)
