Bound the memory that the buffers of all connections hold together

Cause: each bound was for one connection; memory_mb of the settings was not read. Each connection states what it holds: unparsed bytes, the body that is being received or served, a buffered response, a partial event. Beyond the limit only those may hold more that have no more than their equal part, so the sum stays within twice the budget and small requests are served beside large ones. A request that finds none is rejected at once as not run (503, Retry-After); a response is lost as a server's failure.

--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -21,6 +21,7 @@
 #include "engine/TrafficEngine.h"
 #include "http/HttpMessages.h"
 #include "limits/FleetRetryBudget.h"
+#include "limits/MemoryBudget.h"
 #include "limits/PriorityReserve.h"
 #include "limits/RequestQueue.h"
 #include "limits/ReservationWaitList.h"
--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -40,6 +40,7 @@
     , m_socket(std::move(socket))
     , m_received(engine.executor())
     , m_consumed(engine.executor())
+    , m_memory(engine.memory())
 {
     configureSocket(m_socket, PeerKind::Caller);
 }
@@ -83,7 +84,7 @@
             break;
         m_receiveBuffer.append(scratch.data(), count);
         m_received.notify();
-        while (m_receiveBuffer.size() > maxReceiveBufferBytes && !m_isDisconnected)
+        while ((m_receiveBuffer.size() > maxReceiveBufferBytes || !holdMemory()) && !m_receiveBuffer.empty() && !m_isDisconnected)
             co_await m_consumed.wait();
     }
     handleDisconnect();
@@ -130,6 +131,8 @@
     m_exchange = std::make_shared<Exchange>(m_engine, *this, reader.take(), arrivedAt);
     co_await m_exchange->run();
     m_exchange.reset();
+    m_requestBytes = 0;
+    holdMemory();
     m_hasServedRequest = true;
     co_return !m_isDisconnected && !closesAfterResponse();
 }
@@ -140,12 +143,21 @@
     bool hasSentContinue = false;
     while (true) {
         const auto fed = reader.feed(m_receiveBuffer);
+        m_requestBytes = reader.bodyBytes();
+        const bool isMemoryLeft = holdMemory();
         m_consumed.notify();
         if (!isOk(fed)) {
             m_keepsConnection = false;
             co_await sendError(error(fed));
             co_return false;
         }
+        if (!isMemoryLeft) {
+            m_keepsConnection = false;
+            Error overloaded { ErrorKind::Overloaded, "the requests of all callers hold too much memory" };
+            overloaded.retryAfter = m_engine.retryAfter(limits.headerTimeout, {});
+            co_await sendError(overloaded);
+            co_return false;
+        }
         if (reader.isDone())
             co_return true;
         if (m_isDisconnected)
--- a/modules/borageslip_traffic/caller/CallerSession.h
+++ b/modules/borageslip_traffic/caller/CallerSession.h
@@ -46,6 +46,9 @@
     boost::asio::awaitable<bool> serveRequest();
     boost::asio::awaitable<bool> receiveRequest(RequestReader&, TimePoint arrivedAt);
     boost::asio::awaitable<bool> flush();
+
+    /** States the bytes that the session holds. Returns whether the memory budget allows them. */
+    bool holdMemory() { return m_memory.hold(m_receiveBuffer.size() + m_requestBytes); }
     bool closesAfterResponse() const { return m_isDraining || !m_keepsConnection; }
     void handleDisconnect();
 
@@ -54,6 +57,8 @@
     AutoResetEvent m_received;
     AutoResetEvent m_consumed;
     std::string m_receiveBuffer; ///< Received bytes that have not been parsed yet.
+    size_t m_requestBytes = 0; ///< Of the body of the current request.
+    MemoryBudget::Share m_memory;
     std::string m_sendBuffer; ///< Bytes of the response that have not been sent yet.
     std::shared_ptr<Exchange> m_exchange;
     Framing m_framing = Framing::Length;
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -553,7 +553,7 @@
     const auto bodyKind = m_request.method() == boost::beast::http::verb::head ? ResponseReader::Body::None : ResponseReader::Body::Expected;
     m_engine.countPrompt(m_metadata, state.reservation->pendingTokens());
     for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
-        ResponseSource source(*state.connection, m_engine.scratch(), bodyKind);
+        ResponseSource source(*state.connection, m_engine.scratch(), m_engine.memory(), bodyKind);
         const auto& reader = source.reader();
         const bool hasHead = co_await source.readHead();
         state.reservation->onResponseBegun();
@@ -670,7 +670,7 @@
     auto& reader = source.reader();
     std::string body = reader.takeBody();
     while (!reader.isDone() && body.size() <= maxBufferedResponseBytes) {
-        const bool isOpen = co_await source.readMore();
+        const bool isOpen = co_await source.readMore(body.size());
         if (!isOpen)
             co_return handleLostConnection(state, "connection lost within the response body");
         body += reader.takeBody();
@@ -735,7 +735,7 @@
         }
         if (reader.isDone())
             break;
-        const bool isOpen = co_await source.readMore();
+        const bool isOpen = co_await source.readMore(m_events.partialEventBytes());
         if (!isOpen) {
             m_events.dropPartialEvent();
             co_return handleLostConnection(state, "connection lost within a stream");
--- a/modules/borageslip_traffic/engine/ResponseSource.cpp
+++ b/modules/borageslip_traffic/engine/ResponseSource.cpp
@@ -13,14 +13,15 @@
 
 }
 
-ResponseSource::ResponseSource(ServerConnection& connection, std::span<char> scratch, ResponseReader::Body body)
+ResponseSource::ResponseSource(ServerConnection& connection, std::span<char> scratch, MemoryBudget& memory, ResponseReader::Body body)
     : m_connection(connection)
     , m_scratch(scratch)
+    , m_memory(memory)
     , m_reader(body)
 {
 }
 
-asio::awaitable<bool> ResponseSource::readMore()
+asio::awaitable<bool> ResponseSource::readMore(size_t retained)
 {
     auto& socket = m_connection.socket;
     boost::system::error_code failure;
@@ -35,7 +36,8 @@
     if (failure)
         co_return false;
     m_connection.receiveBuffer.append(m_scratch.data(), count);
-    co_return isOk(m_reader.feed(m_connection.receiveBuffer));
+    const bool isValid = isOk(m_reader.feed(m_connection.receiveBuffer));
+    co_return isValid && m_memory.hold(retained + m_connection.receiveBuffer.size() + m_reader.bodyBytes());
 }
 
 asio::awaitable<bool> ResponseSource::discardRest()
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -68,6 +68,7 @@
     , m_executor(executor)
     , m_protocol(protocol)
     , m_settings(std::move(settings))
+    , m_memory(m_settings.bufferBytes)
     , m_servers(clock, executor)
     , m_quarantine(clock)
     , m_crashDetector(clock, executor, m_quarantine)
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -3,6 +3,7 @@
 #include "../configuration/TrafficConfiguration.h"
 #include "../http/HttpMessages.h"
 #include "../limits/FleetRetryBudget.h"
+#include "../limits/MemoryBudget.h"
 #include "../limits/PriorityReserve.h"
 #include "../limits/WaitQueue.h"
 #include "../metrics/TrafficCounts.h"
@@ -35,6 +36,7 @@
     std::optional<Duration> keyLifetime {};
     /** Age of the configuration from which refusals by it have to be confirmed; absent: never. */
     std::optional<Duration> maxConfigurationAge {};
+    size_t bufferBytes = 32 * 1024 * 1024; ///< Limit of the budget for the buffers of all connections, @see MemoryBudget.
 };
 
 /** A request that passed route lookup and authentication. */
@@ -190,6 +192,9 @@
     TrafficCounts& counts() { return m_counts; }
     uint64_t nextSequenceNumber() { return ++m_sequenceNumber; }
 
+    /** For the bytes that connections hold which have not been passed on yet. */
+    MemoryBudget& memory() { return m_memory; }
+
     /** Shared read buffer; its content is valid only until the coroutine suspends. */
     std::span<char> scratch() { return m_scratch; }
 
@@ -220,6 +225,7 @@
     std::set<AutoResetEvent*> m_confirmationWaiters;
     TimePoint m_loadTimestamp {};
     bool m_refusesNewRequests = false;
+    MemoryBudget m_memory;
     ServerTable m_servers;
     PromptQuarantine m_quarantine;
     CrashDetector m_crashDetector;
--- a/modules/borageslip_traffic/http/HttpMessages.h
+++ b/modules/borageslip_traffic/http/HttpMessages.h
@@ -35,6 +35,9 @@
     bool isDone() const { return m_parser.is_done(); }
     const HttpRequest& request() const { return m_parser.get(); }
 
+    /** Bytes of the body that have been received. */
+    size_t bodyBytes() const { return m_parser.get().body().size(); }
+
     /** Whether the caller waits for "100 Continue" before it sends the body. */
     bool expectsContinue() const;
 
@@ -79,6 +82,9 @@
     /** Returns the body bytes received since the last call. */
     std::string takeBody();
 
+    /** Number of the body bytes that takeBody() would return. */
+    size_t bodyBytes() const { return m_parser->get().body().size(); }
+
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -570,6 +570,34 @@
         check(f"an endless request does not use unbounded memory ({name})", growth < 4 * 1024 * 1024, growth)
 
 
+async def check_memory_of_all_connections(fleet):
+    """Guards against connections that are each within their bound and together take the process over its memory limit."""
+    entry, count, limit = fleet.entry, 300, 64 * 1024 * 1024
+    fleet.set_behaviour("holds")
+    for server in fleet.servers:
+        server.slots = count
+    before = resident_bytes(entry.process)
+    streams = [asyncio.create_task(entry.ask("/once/stream/a", "POST", body=b"x", identity=f"r-holds-{number}")) for number in range(count)]
+    await asyncio.sleep(0.5)
+    growth = resident_bytes(entry.process) - before
+    check("partial events of many streams stay within the memory limit", growth < limit / 2, growth)
+    await asyncio.gather(*streams)
+    fleet.set_behaviour("sound")
+    writers = []
+    before = resident_bytes(entry.process)
+    for number in range(count):
+        _, writer = await asyncio.open_connection("127.0.0.1", entry.front)
+        writer.write(request("/book/a", "POST", body=b"x" * 65000, identity=f"r-part-{number}")[:-1])
+        writers.append(writer)
+    await asyncio.sleep(0.5)
+    growth = resident_bytes(entry.process) - before
+    check("incomplete requests of many callers stay within the memory limit", growth < limit / 2, growth)
+    answer = await entry.ask("/read/a")
+    check("a short request is served beside them", answer.status == 200, answer)
+    for writer in writers:
+        writer.close()
+
+
 async def check_store_outage(fleet):
     fleet.set_behaviour("sound")
     store, entry = fleet.store, fleet.entry
@@ -658,7 +686,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.wait_until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_slow_streams, check_leaving_server, check_paused_server, check_endless_answers, check_endless_requests, check_metrics, check_store_outage, check_stop, check_explain):
+            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_slow_streams, check_leaving_server, check_paused_server, check_endless_answers, check_endless_requests, check_memory_of_all_connections, check_metrics, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -172,6 +172,7 @@
     "endless-chunk-size": (200, [("Transfer-Encoding", "chunked")], b"", b"0" * 4096),
     "endless-trailer-fields": (200, [("Transfer-Encoding", "chunked")], b"0\r\n", b"X-Long: " + b"x" * 1000 + b"\r\n"),
     "endless-trailer-line": (200, [("Transfer-Encoding", "chunked")], b"0\r\nX-Long: ", b"x" * 4096),
+    "endless-event": (200, [("Content-Type", "text/event-stream")], b"data: ", b"x" * 4096),
     "endless-interim": (100, [], b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
 }
 
@@ -272,6 +273,10 @@
             if self.behaviour in ENDLESS:
                 await self._flood(own_headers, writer)
                 return
+            if self.behaviour == "holds":  # Never ends an event of the size that an instance buffers at the most.
+                writer.write(stream_head(own_headers) + b"data: " + b"x" * 200_000)
+                await reader.read()
+                return
             if self.behaviour == "lost":
                 return
             if self.behaviour == "trickles":
@@ -399,7 +404,7 @@
         "zones": {"zone-a": "region"},
         "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}", "directory": f"127.0.0.1:{directory}"},
         "internal_ports": [peer_port, peer_port + 5],
-        "limits": {"max_fds": 1024},
+        "limits": {"max_fds": 1024, "memory_mb": 64},
         "metrics_port": metrics_port,
         "bounds": {"grace_s": 3, "ttl_max_s": 5, "drain_ms": 2000, "revoke_fail_closed": True, "revoke_ms": 3000, "retry_budget_ratio": 0.2, "budget_min_retries": 90, "budget_window_s": 10, "cap_factor": 2, **bounds},
         "provider": {"address": store_address},
