Suspect a request at a crash until its response clears its prompt

Cause: two thresholds for one fact. A response cleared its parts from its second event on, but a request was no suspect from its first event on, so a crash between the two left no evidence, and the stream was resumed at the next server. Change: one state of the attempt, hasProgressed, does both; it counts the events of the attempt, so that a resumed stream is a suspect again at the server that resumes it, and it is set at completion. Test: "a prompt part that crashes servers before a response progresses is quarantined, wherever the crash falls" failed before for a crash after the first event (14 and 32 late requests, 3 allowed) and passes.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -193,8 +193,8 @@
 
 asio::awaitable<void> Exchange::checkForCrash(const AttemptState& state)
 {
-    // A request that had events before is not a suspect: responses to its prompt do proceed.
-    if (!state.isConnectionLost || m_events.eventCount() > 0 || state.bodyBegunAt != TimePoint())
+    // What clears the parts of a prompt is what makes its request no suspect, so that no crash goes unseen.
+    if (!state.isConnectionLost || state.hasProgressed)
         co_return;
     auto suspect = promptFingerprint(m_metadata);
     if (suspect.parts.empty())
@@ -205,7 +205,7 @@
 
 void Exchange::recordProgress(AttemptState& state)
 {
-    constexpr size_t eventsOfProgress = 2; // A crash may come right after the first event.
+    constexpr size_t eventsOfProgress = 2; // Of the attempt. A crash may come right after the first event.
     const auto events = m_events.eventCount() - state.earlierEvents;
     if (events > 0 && state.bodyBegunAt == TimePoint())
         state.bodyBegunAt = m_engine.clock().now();
@@ -214,9 +214,9 @@
     m_engine.recordPromptProgress(m_metadata, state.bodyBegunAt);
 }
 
-void Exchange::recordCompletion(const AttemptState& state)
+void Exchange::recordCompletion(AttemptState& state)
 {
-    if (!state.hasProgressed && state.bodyBegunAt != TimePoint())
+    if (state.bodyBegunAt != TimePoint() && !std::exchange(state.hasProgressed, true))
         m_engine.recordPromptProgress(m_metadata, state.bodyBegunAt);
 }
 
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -71,7 +71,7 @@
         size_t earlierEvents = 0; ///< Events that the caller got from earlier attempts.
         bool isResponseBegun = false; ///< Whether the header of the response has arrived.
         bool isConnectionLost = false;
-        bool hasProgressed = false; ///< Whether the response went on after its first event.
+        bool hasProgressed = false; ///< Whether the response went on after its first event, or is complete. Clears the parts of the prompt; until then a crash makes them suspects.
         std::shared_ptr<bool> isWritten = std::make_shared<bool>(false);
     };
 
@@ -130,10 +130,10 @@
     /** Rejects a request whose prompt has quarantined parts: sets the error and returns true. */
     bool isQuarantined();
 
-    /** Reports the request as a suspect if the server has crashed before it sent a part of the response body. */
+    /** Reports the request as a suspect if the server has crashed before its response had progressed. */
     boost::asio::awaitable<void> checkForCrash(const AttemptState&);
     void recordProgress(AttemptState&);
-    void recordCompletion(const AttemptState&);
+    void recordCompletion(AttemptState&);
     AttemptResult handleMisdirected(AttemptState&);
     void startDeadline();
     void stop(StopReason);
--- a/modules/borageslip_traffic/quarantine/CrashDetector.h
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.h
@@ -25,7 +25,7 @@
     void setListener(PromptHealthListener* listener) { m_listener = listener; }
 
     /** Completes when it is known whether the server has crashed, after a short time at the latest.
-        @param suspect fingerprint of a request to which the server had sent no part of a response body. */
+        @param suspect fingerprint of a request whose response had not progressed. */
     boost::asio::awaitable<bool> hasCrashed(BackendServerPtr, PromptFingerprint suspect);
 
     /** Crashes that this instance has observed and reported. */
--- a/modules/borageslip_traffic/quarantine/PromptQuarantine.h
+++ b/modules/borageslip_traffic/quarantine/PromptQuarantine.h
@@ -12,7 +12,7 @@
 
 namespace borageslip {
 
-/** The crash of a backend server, and the requests to which it had sent no part of a response body. */
+/** The crash of a backend server, and the requests whose responses had not progressed. */
 struct ServerCrash {
     uint64_t server = 0; ///< Hash of the server's id.
     std::vector<PromptFingerprint> suspects; ///< Of the requests; without prompts that have no shared part.
