Answer requests whose caller has not got a byte of the response

Cause: hasBegun() was set when the head was put into the send buffer, which waits for the first bytes of the body; the exchange took it for bytes that the caller has got. Change: hasBegun() is set when bytes are given to the socket; until then another head or an error replaces the prepared one.

--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -120,6 +120,7 @@
     const auto arrivedAt = m_engine.clock().now();
     const auto limits = m_engine.callerLimits();
     RequestReader reader(limits.maxHeaderBytes, limits.maxBodyBytes);
+    m_isResponsePrepared = false;
     m_hasBegun = false;
     m_keepsConnection = true;
     m_httpVersion = 11;
@@ -184,6 +185,7 @@
 {
     if (m_isDisconnected)
         co_return false;
+    m_hasBegun = m_isResponsePrepared;
     boost::system::error_code failure;
     co_await asio::async_write(m_socket, asio::buffer(m_sendBuffer), asio::redirect_error(asio::use_awaitable, failure));
     m_sendBuffer.clear();
@@ -194,7 +196,7 @@
 
 asio::awaitable<bool> CallerSession::begin(const HttpResponseHead& head, std::optional<uint64_t> length)
 {
-    m_hasBegun = true;
+    m_isResponsePrepared = true;
     m_sendBuffer = serializeResponseHead(head);
     if (length) {
         m_framing = Framing::Length;
@@ -213,7 +215,7 @@
         m_sendBuffer += "Connection: close\r\n";
     }
     m_sendBuffer += "\r\n";
-    // The header is sent together with the first bytes of the body.
+    // The header is sent together with the first bytes of the body, so that until then an error can still take its place.
     co_return !m_isDisconnected;
 }
 
--- a/modules/borageslip_traffic/caller/CallerSession.h
+++ b/modules/borageslip_traffic/caller/CallerSession.h
@@ -63,7 +63,8 @@
     std::shared_ptr<Exchange> m_exchange;
     Framing m_framing = Framing::Length;
     unsigned m_httpVersion = 11;
-    bool m_hasBegun = false;
+    bool m_isResponsePrepared = false; ///< Whether the response's header is in the send buffer.
+    bool m_hasBegun = false; ///< Whether bytes of the response have been sent.
     bool m_isDisconnected = false;
     bool m_isDraining = false;
     bool m_hasServedRequest = false;
