Send no body in responses to HEAD and with status 204 or 304

Cause: the session wrote the body of an error, and the last chunk of a stream without length, whatever the request's method and the response's status were. Change: the session drops the body of such responses; 204 and 304 have no framing fields. Test: "each response on a kept connection is the one to its request, after responses without a body" in entry_test.

--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -124,11 +124,13 @@
     m_hasBegun = false;
     m_keepsConnection = true;
     m_httpVersion = 11;
+    m_isHeadRequest = false;
     const bool hasRequest = co_await receiveRequest(reader, arrivedAt);
     if (!hasRequest)
         co_return false;
     m_keepsConnection = reader.request().keep_alive();
     m_httpVersion = reader.request().version();
+    m_isHeadRequest = reader.request().method() == boost::beast::http::verb::head;
     m_exchange = std::make_shared<Exchange>(m_engine, *this, reader.take(), arrivedAt);
     co_await m_exchange->run();
     m_exchange.reset();
@@ -198,10 +200,11 @@
 {
     m_isResponsePrepared = true;
     m_sendBuffer = serializeResponseHead(head);
-    if (length) {
+    const bool isBodyless = head.result_int() == 204 || head.result_int() == 304;
+    m_hasNoBody = m_isHeadRequest || isBodyless;
+    if (length || isBodyless) {
         m_framing = Framing::Length;
-        const bool hasNoBody = head.result_int() == 204 || head.result_int() == 304;
-        if (!hasNoBody)
+        if (!isBodyless)
             m_sendBuffer += "Content-Length: " + std::to_string(*length) + "\r\n";
     } else if (m_httpVersion >= 11) {
         m_framing = Framing::Chunked;
@@ -221,6 +224,8 @@
 
 asio::awaitable<bool> CallerSession::write(std::string_view bytes)
 {
+    if (m_hasNoBody)
+        co_return co_await flush();
     if (m_framing == Framing::Chunked && !bytes.empty())
         m_sendBuffer.append(chunkHeader(bytes.size())).append(bytes).append("\r\n");
     else
@@ -230,7 +235,7 @@
 
 asio::awaitable<bool> CallerSession::end()
 {
-    if (m_framing == Framing::Chunked)
+    if (m_framing == Framing::Chunked && !m_hasNoBody)
         m_sendBuffer += "0\r\n\r\n";
     if (m_sendBuffer.empty())
         co_return !m_isDisconnected;
--- a/modules/borageslip_traffic/caller/CallerSession.h
+++ b/modules/borageslip_traffic/caller/CallerSession.h
@@ -63,6 +63,8 @@
     std::shared_ptr<Exchange> m_exchange;
     Framing m_framing = Framing::Length;
     unsigned m_httpVersion = 11;
+    bool m_isHeadRequest = false;
+    bool m_hasNoBody = false; ///< Whether the response must not have a body: to HEAD, or by its status.
     bool m_isResponsePrepared = false; ///< Whether the response's header is in the send buffer.
     bool m_hasBegun = false; ///< Whether bytes of the response have been sent.
     bool m_isDisconnected = false;
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -242,6 +242,42 @@
     check("a stream without framing that ends within an event is resumed", answer.body == expected and answer.is_complete, answer)
 
 
+async def check_heads_without_bodies(fleet):
+    """Guards against a connection that is closed without an answer when a server has sent its head and no byte of a body."""
+    for framing in ("chunked", "length", "close"):
+        for ending, status, path in (("silent", 504, "/once/stream/a"), ("ends", 502, "/once/stream/a"), ("ends", 502, "/stream/stream/a")):
+            if (framing, ending) == ("close", "ends"):
+                continue  # A body without framing that ends with its connection is complete.
+            fleet.set_behaviour(f"head-{framing}-{ending}")
+            answer = await fleet.entry.ask(path, "POST", body=b"x", deadline=500)
+            check(f"a caller that has got no byte of a response gets an error ({framing}, {ending}, {path})", answer.status == status and answer.is_complete and fleet.runs() > 0, answer)
+    fleet.set_behaviour("full")
+    fleet.servers[0].behaviour = "head-chunked-ends"
+    answers = [await fleet.entry.ask("/stream/stream/a", "POST", body=b"x", identity=f"r-head-{number}") for number in range(4)]
+    check("a resumption that is refused before the first byte gets an error", all(answer.status in (502, 503) and answer.is_complete for answer in answers), [str(answer) for answer in answers])
+    fleet.set_behaviour("sound")
+    await asyncio.sleep(0.8)
+
+
+async def check_responses_without_bodies(fleet):
+    """Guards against bytes after a response that has no body, which a caller takes for its next response."""
+    fleet.set_behaviour("sound")
+    reader, writer = await asyncio.open_connection("127.0.0.1", fleet.entry.front)
+    seen = []
+    for number, (path, method, behaviour) in enumerate([("/nowhere/a", "HEAD", "sound"), ("/read/a", "GET", "sound"), ("/book/a", "HEAD", "full"), ("/read/b", "GET", "sound"), ("/once/stream/a", "HEAD", "head-chunked-ends"), ("/read/c", "GET", "sound"), ("/once/stream/a", "POST", "empty-stream"), ("/read/d", "GET", "sound")]):
+        fleet.set_behaviour(behaviour)
+        writer.write(request(path, method, identity=f"r-bodyless-{number}"))
+        head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)).decode()
+        if method == "GET":
+            length = int(head.lower().split("content-length: ")[1].split("\r")[0])
+            body = await reader.readexactly(length)
+            seen.append((head.split(" ")[1], body))
+        await asyncio.sleep(0.02)
+    writer.close()
+    check("each response on a kept connection is the one to its request, after responses without a body", seen == [("200", b"ran ")] * 4, seen)
+    await asyncio.sleep(0.8)
+
+
 async def check_caller_disconnect(fleet):
     fleet.set_behaviour("sound")
     for server in fleet.servers:
@@ -686,7 +722,7 @@
             fleet.list_servers()
             check("an instance is ready once it has a configuration", await entry.wait_until(entry.is_ready))
             await asyncio.sleep(0.8)
-            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_slow_streams, check_leaving_server, check_paused_server, check_endless_answers, check_endless_requests, check_memory_of_all_connections, check_metrics, check_store_outage, check_stop, check_explain):
+            for case in (check_directory, check_forwarding, check_refusals, check_failures, check_streams, check_heads_without_bodies, check_responses_without_bodies, check_caller_disconnect, check_smuggling, check_keep_alive, check_changes, check_operator_commands, check_fuzz, check_failing_server, check_slow_streams, check_leaving_server, check_paused_server, check_endless_answers, check_endless_requests, check_memory_of_all_connections, check_metrics, check_store_outage, check_stop, check_explain):
                 await asyncio.wait_for(case(fleet), 60)
         finally:
             if entry.process.returncode is None:
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -277,6 +277,19 @@
                 writer.write(stream_head(own_headers) + b"data: " + b"x" * 200_000)
                 await reader.read()
                 return
+            if self.behaviour.startswith("head-"):  # Sends the head of a stream and no byte of its body.
+                _, framing, ending = self.behaviour.split("-")
+                fields = own_headers + ([("Content-Length", "100")] if framing == "length" else [])
+                writer.write(stream_head(fields, is_chunked=framing == "chunked"))
+                await writer.drain()
+                if ending == "silent":
+                    await reader.read()
+                return
+            if self.behaviour == "empty-stream":
+                writer.write(response(204, headers=own_headers).replace(b"Content-Length: 0\r\n", b""))
+                await writer.drain()
+                self.running -= 1
+                continue
             if self.behaviour == "lost":
                 return
             if self.behaviour == "trickles":
