Judge prompts with hundreds of parts when servers crash

Cause: prompts over the limit, which bounds the size of messages, were left out of the evidence, and nothing took their place. Change: up to 1,024 parts of a prompt are suspects, the newest ones. A crash is told in up to 8 notices of 512 parts. At most 4,096 suspects are kept; parts that are suspects already are counted before new ones are added, and those with the fewest crashes are dropped first, all at once. The parts that were always together are shared between the suspects of a prompt, and cleared ones are left out when a part is judged. A quarantined combination keeps 32 parts at the most, so reports are no longer. Tests: "a part that crashes servers is found among hundreds of parts" (31, 40 and 400). The check that a prompt of 1,000 parts leaves no suspect held the fault itself; its place takes one that 40 crashes with 1,000 new parts each leave suspects, and no more than 4,096.

--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -86,8 +86,13 @@
     if (!m_quarantine.hasSuspects())
         return;
     const auto cleared = m_quarantine.recordProgress(promptFingerprint(metadata), begunAt);
-    if (!cleared.parts.empty() && m_promptHealthListener != nullptr)
-        m_promptHealthListener->partsCleared(cleared);
+    if (m_promptHealthListener == nullptr)
+        return;
+    constexpr size_t maxPartsOfNotice = 512; ///< Bounds the size of a datagram.
+    for (std::span parts(cleared.parts); !parts.empty(); parts = parts.subspan(std::min(parts.size(), maxPartsOfNotice))) {
+        const auto noticed = parts.first(std::min(parts.size(), maxPartsOfNotice));
+        m_promptHealthListener->partsCleared({ cleared.model, { noticed.begin(), noticed.end() } });
+    }
 }
 
 void TrafficEngine::setConfiguration(TrafficConfigurationPtr configuration)
--- a/modules/borageslip_traffic/quarantine/CrashDetector.cpp
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -19,8 +19,35 @@
     using std::chrono::milliseconds;
 
     constexpr Duration connectLimit = milliseconds(100); ///< Requests wait for the result before they are sent again.
-    constexpr size_t maxSuspectsOfCrash = 16; ///< Bounds the size of a datagram.
-    constexpr int maxReportsPerSecond = 20; ///< To the other instances.
+    constexpr size_t maxSuspectsOfCrash = 64;
+    constexpr size_t maxSuspectsOfNotice = 16; ///< Bounds the size of a datagram, as does the next.
+    constexpr size_t maxPartsOfNotice = 512;
+    constexpr size_t maxNoticesOfCrash = 8;
+    constexpr int maxReportsPerSecond = 20; ///< Crashes of which the other instances are notified.
+
+    /** Divides the suspects of a crash into notices to the other instances; those beyond the limit are left out. The parts
+        of a long prompt may be in several notices, which count as one crash since they arrive together. */
+    std::vector<ServerCrash> noticesOf(const ServerCrash& crash)
+    {
+        std::vector<ServerCrash> notices;
+        size_t partsLeft = 0;
+        for (const auto& suspect : crash.suspects) {
+            for (size_t first = 0; first < suspect.parts.size();) {
+                const auto size = std::min(suspect.parts.size() - first, maxPartsOfNotice);
+                if (notices.empty() || partsLeft < size || notices.back().suspects.size() >= maxSuspectsOfNotice) {
+                    if (notices.size() >= maxNoticesOfCrash)
+                        return notices;
+                    notices.push_back({ crash.server, {} });
+                    partsLeft = maxPartsOfNotice;
+                }
+                const auto begin = suspect.parts.begin() + static_cast<std::ptrdiff_t>(first);
+                notices.back().suspects.push_back({ suspect.model, { begin, begin + static_cast<std::ptrdiff_t>(size) } });
+                partsLeft -= size;
+                first += size;
+            }
+        }
+        return notices;
+    }
 
 }
 
@@ -38,7 +65,7 @@
     if (isFirst)
         running = std::make_shared<Check>(m_executor);
     const auto own = running;
-    if (own->suspects.size() < maxSuspectsOfCrash && suspect.parts.size() <= maxPartsOfSuspect)
+    if (own->suspects.size() < maxSuspectsOfCrash)
         own->suspects.push_back(std::move(suspect));
     if (isFirst) {
         own->ended.expires_at(asio::steady_timer::time_point::max());
@@ -84,13 +111,16 @@
 {
     ++m_crashCount;
     const ServerCrash crash { server.hash(), std::move(running.suspects) };
+    constexpr size_t maxLoggedParts = 32;
     auto suspects = nlohmann::json::array();
     for (const auto& suspect : crash.suspects)
-        suspects.push_back(fingerprintJson(suspect));
+        suspects.push_back(suspect.parts.size() <= maxLoggedParts ? fingerprintJson(suspect) : nlohmann::json { { "model", suspect.model }, { "part_count", suspect.parts.size() } });
     logEvent(Severity::Warning, "server-crashed", { { "server", server.description().id }, { "suspects", std::move(suspects) } });
     m_quarantine.recordCrash(crash);
-    if (m_listener != nullptr && mayReport())
-        m_listener->serverCrashed(crash);
+    if (m_listener == nullptr || !mayReport())
+        return;
+    for (const auto& notice : noticesOf(crash))
+        m_listener->serverCrashed(notice);
 }
 
 }
--- a/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
@@ -27,7 +27,8 @@
 {
     const auto& model = metadata.model;
     PromptFingerprint fingerprint { model.size() <= maxModelBytes ? model : hexadecimalText(hashBytes(model)), {} };
-    for (size_t i = 0; i + 1 < metadata.promptParts.size(); ++i)
+    const size_t sharedParts = metadata.promptParts.empty() ? 0 : metadata.promptParts.size() - 1;
+    for (size_t i = sharedParts - std::min(sharedParts, maxPartsOfSuspect); i < sharedParts; ++i)
         fingerprint.parts.push_back(metadata.promptParts[i].id);
     std::sort(fingerprint.parts.begin(), fingerprint.parts.end());
     fingerprint.parts.erase(std::unique(fingerprint.parts.begin(), fingerprint.parts.end()), fingerprint.parts.end());
--- a/modules/borageslip_traffic/quarantine/PromptFingerprint.h
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.h
@@ -19,8 +19,8 @@
     bool operator==(const PromptFingerprint&) const = default;
 };
 
-/** A prompt with more shared parts is not suspected, which bounds the size of messages between instances. */
-constexpr size_t maxPartsOfSuspect = 32;
+/** Of a prompt that is suspected; of a longer one, the newest parts are. */
+constexpr size_t maxPartsOfSuspect = 1024;
 
 /** Returns the fingerprint of a request's prompt; without parts if its prompt has no shared part. */
 PromptFingerprint promptFingerprint(const RequestMetadata&);
--- a/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
@@ -20,15 +20,31 @@
     constexpr Duration suspectLifetime = std::chrono::minutes(2); ///< After the last crash of the suspect.
     constexpr Duration quarantineTime = std::chrono::minutes(10); ///< After the last request with the parts.
     constexpr Duration renewalTime = std::chrono::hours(1); ///< After a quarantine, in which one crash renews it.
-    constexpr size_t maxSuspects = 512;
-    constexpr size_t maxCleared = 512;
+    constexpr size_t maxSuspects = 4096;
+    constexpr size_t maxCleared = 4096;
     constexpr size_t maxQuarantines = 16;
+    constexpr size_t maxPartsOfQuarantine = 32; ///< Bounds the size of reports.
 
     bool containsAll(std::span<const uint64_t> sorted, std::span<const uint64_t> required)
     {
         return std::includes(sorted.begin(), sorted.end(), required.begin(), required.end());
     }
 
+    bool contains(std::span<const uint64_t> sorted, uint64_t part)
+    {
+        return std::binary_search(sorted.begin(), sorted.end(), part);
+    }
+
+    /** The first parts themselves if the others contain all of them. */
+    std::shared_ptr<const std::vector<uint64_t>> intersection(const std::shared_ptr<const std::vector<uint64_t>>& parts, std::span<const uint64_t> others)
+    {
+        if (containsAll(others, *parts))
+            return parts;
+        std::vector<uint64_t> common;
+        std::set_intersection(parts->begin(), parts->end(), others.begin(), others.end(), std::back_inserter(common));
+        return std::make_shared<const std::vector<uint64_t>>(std::move(common));
+    }
+
     /** Whether the quarantine of the first combination applies to every prompt with the second one. */
     bool covers(const PromptFingerprint& quarantined, const PromptFingerprint& prompt)
     {
@@ -39,12 +55,11 @@
 
 void PromptQuarantine::recordCrash(const ServerCrash& crash)
 {
-    for (const auto& prompt : crash.suspects) {
-        if (prompt.parts.size() > maxPartsOfSuspect)
-            continue;
-        for (const auto part : prompt.parts)
-            recordSuspect(crash.server, prompt, part);
-    }
+    // Those that are suspects already come first, so that many new ones don't displace them.
+    for (const auto& prompt : crash.suspects)
+        countCrash(crash.server, prompt);
+    for (const auto& prompt : crash.suspects)
+        addSuspects(crash.server, prompt);
     for (const auto& prompt : crash.suspects) {
         for (const auto part : prompt.parts) {
             const PartKey key { prompt.model, part };
@@ -54,46 +69,77 @@
     }
 }
 
-void PromptQuarantine::recordSuspect(uint64_t server, const PromptFingerprint& prompt, uint64_t part)
+void PromptQuarantine::countCrash(uint64_t server, const PromptFingerprint& prompt)
 {
     const auto now = m_clock.now();
-    const PartKey key { prompt.model, part };
-    const bool wasCleared = m_cleared.erase(key) > 0;
-    if (!m_suspects.contains(key) && m_suspects.size() >= maxSuspects)
-        dropOldestSuspect();
-    const auto [found, isNew] = m_suspects.try_emplace(key);
-    auto& suspect = found->second;
-    if (isNew) {
-        suspect = { 1, now, now, now + suspectLifetime, server, false, wasCleared, prompt.parts };
-        std::erase(suspect.companions, part);
-        return;
+    std::map<PartsPtr, PartsPtr> common; ///< What is left of the parts that were always together.
+    for (const auto part : prompt.parts) {
+        const auto found = m_suspects.find({ prompt.model, part });
+        if (found == m_suspects.end())
+            continue;
+        auto& suspect = found->second;
+        suspect.endsAt = std::max(suspect.endsAt, now + suspectLifetime);
+        suspect.isOnSeveralServers |= server != suspect.firstServer;
+        auto& together = common[suspect.together];
+        if (!together)
+            together = intersection(suspect.together, prompt.parts);
+        suspect.together = together;
+        if (now - suspect.countedAt < countInterval)
+            continue;
+        ++suspect.crashes;
+        suspect.countedAt = now;
     }
-    suspect.endsAt = std::max(suspect.endsAt, now + suspectLifetime);
-    std::erase_if(suspect.companions, [&](uint64_t other) { return !std::binary_search(prompt.parts.begin(), prompt.parts.end(), other); });
-    suspect.isOnSeveralServers |= server != suspect.firstServer;
-    if (now - suspect.countedAt < countInterval)
+}
+
+void PromptQuarantine::addSuspects(uint64_t server, const PromptFingerprint& prompt)
+{
+    std::vector<uint64_t> added;
+    std::copy_if(prompt.parts.begin(), prompt.parts.end(), std::back_inserter(added), [&](uint64_t part) { return !m_suspects.contains({ prompt.model, part }); });
+    if (added.empty() || added.size() > maxPartsOfSuspect)
         return;
-    ++suspect.crashes;
-    suspect.countedAt = now;
+    makeRoom(added.size());
+    const auto now = m_clock.now();
+    const auto together = std::make_shared<const std::vector<uint64_t>>(prompt.parts);
+    for (const auto part : added) {
+        const PartKey key { prompt.model, part };
+        const bool wasCleared = m_cleared.erase(key) > 0;
+        m_suspects.emplace(key, Suspect { 1, now, now, now + suspectLifetime, server, false, wasCleared, together });
+    }
+}
+
+std::vector<uint64_t> PromptQuarantine::companionsOf(const PartKey& key, const Suspect& suspect) const
+{
+    std::vector<uint64_t> companions;
+    for (const auto part : *suspect.together) {
+        const PartKey other { key.first, part };
+        const auto found = m_suspects.find(other);
+        const bool wasCleared = m_cleared.contains(other) || (found != m_suspects.end() && found->second.wasCleared);
+        if (part != key.second && !wasCleared)
+            companions.push_back(part);
+    }
+    return companions;
 }
 
 bool PromptQuarantine::isExplainedByCompanion(const PartKey& key, const Suspect& suspect) const
 {
     return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto& entry) {
         const auto& [otherKey, other] = entry;
-        const bool isSameModel = otherKey.first == key.first;
-        const bool impliesPart = std::binary_search(other.companions.begin(), other.companions.end(), key.second);
-        const bool isImplied = std::binary_search(suspect.companions.begin(), suspect.companions.end(), otherKey.second);
-        return isSameModel && !other.wasCleared && other.crashes >= crashesOfCompanion && impliesPart && !isImplied;
+        const bool isSameModel = otherKey.first == key.first && otherKey.second != key.second;
+        return isSameModel && !other.wasCleared && other.crashes >= crashesOfCompanion && contains(*other.together, key.second) && !contains(*suspect.together, otherKey.second);
     });
 }
 
 void PromptQuarantine::judge(const PartKey& key, const Suspect& suspect)
 {
-    const int needed = (suspect.companions.empty() ? crashesOfSinglePart : crashesOfCombination) + (suspect.wasCleared ? extraCrashesOfCleared : 0);
-    if (suspect.crashes < needed || !suspect.isOnSeveralServers || isExplainedByCompanion(key, suspect))
+    if (suspect.crashes < crashesOfCombination || !suspect.isOnSeveralServers)
+        return;
+    auto companions = companionsOf(key, suspect);
+    const int needed = (companions.empty() ? crashesOfSinglePart : crashesOfCombination) + (suspect.wasCleared ? extraCrashesOfCleared : 0);
+    if (suspect.crashes < needed || isExplainedByCompanion(key, suspect))
         return;
-    PromptFingerprint prompt { key.first, suspect.companions };
+    // A combination of fewer parts applies to more prompts, and its messages are shorter.
+    companions.resize(std::min(companions.size(), maxPartsOfQuarantine - 1));
+    PromptFingerprint prompt { key.first, std::move(companions) };
     prompt.parts.insert(std::lower_bound(prompt.parts.begin(), prompt.parts.end(), key.second), key.second);
     quarantine(std::move(prompt), m_clock.now() + quarantineTime);
 }
@@ -139,10 +185,6 @@
     if (m_cleared.size() >= maxCleared)
         m_cleared.erase(std::min_element(m_cleared.begin(), m_cleared.end(), [](const auto& first, const auto& second) { return first.second < second.second; }));
     m_cleared[key] = m_clock.now();
-    for (auto& [other, suspect] : m_suspects) {
-        if (other.first == key.first)
-            std::erase(suspect.companions, key.second);
-    }
     for (auto& entry : m_quarantines) {
         if (entry.prompt.model != key.first || std::erase(entry.prompt.parts, key.second) == 0)
             continue;
@@ -166,7 +208,7 @@
 {
     auto prompt = other.prompt;
     std::erase_if(prompt.parts, [&](uint64_t part) { return m_cleared.contains({ prompt.model, part }); });
-    const bool isValid = !prompt.parts.empty() && prompt.parts.size() <= maxPartsOfSuspect && std::is_sorted(prompt.parts.begin(), prompt.parts.end());
+    const bool isValid = !prompt.parts.empty() && prompt.parts.size() <= maxPartsOfQuarantine && std::is_sorted(prompt.parts.begin(), prompt.parts.end());
     if (isValid && other.timeLeft > milliseconds(0))
         quarantine(std::move(prompt), m_clock.now() + std::min<Duration>(other.timeLeft, quarantineTime));
 }
@@ -182,11 +224,10 @@
 void PromptQuarantine::watch(const PromptFingerprint& prompt)
 {
     const auto now = m_clock.now();
-    for (const auto part : prompt.parts) {
-        auto& suspect = m_suspects[{ prompt.model, part }];
-        suspect = { crashesOfSinglePart - 1, now, now, now + renewalTime, 0, true, false, prompt.parts };
-        std::erase(suspect.companions, part);
-    }
+    const auto together = std::make_shared<const std::vector<uint64_t>>(prompt.parts);
+    makeRoom(prompt.parts.size());
+    for (const auto part : prompt.parts)
+        m_suspects.insert_or_assign({ prompt.model, part }, Suspect { crashesOfSinglePart - 1, now, now, now + renewalTime, 0, true, false, together });
 }
 
 void PromptQuarantine::expire()
@@ -203,9 +244,21 @@
     std::erase_if(m_cleared, [&](const auto& entry) { return now - entry.second >= quarantineTime; });
 }
 
-void PromptQuarantine::dropOldestSuspect()
+void PromptQuarantine::makeRoom(size_t count)
 {
-    m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto& first, const auto& second) { return first.second.countedAt < second.second.countedAt; }));
+    if (m_suspects.size() + count <= maxSuspects)
+        return;
+    using Entry = decltype(m_suspects)::iterator;
+    std::vector<Entry> entries;
+    for (auto entry = m_suspects.begin(); entry != m_suspects.end(); ++entry)
+        entries.push_back(entry);
+    const auto excess = std::min(entries.size(), m_suspects.size() + count - maxSuspects);
+    const auto isLess = [](const Entry& first, const Entry& second) {
+        return std::pair(first->second.crashes, first->second.countedAt) < std::pair(second->second.crashes, second->second.countedAt);
+    };
+    std::nth_element(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(excess) - 1, entries.end(), isLess);
+    for (size_t i = 0; i < excess; ++i)
+        m_suspects.erase(entries[i]);
 }
 
 }
--- a/modules/borageslip_traffic/quarantine/PromptQuarantine.h
+++ b/modules/borageslip_traffic/quarantine/PromptQuarantine.h
@@ -5,6 +5,7 @@
 #include <borageslip_core/time/Clock.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <utility>
@@ -38,7 +39,8 @@
     The quarantine ends after a long time without a request that has the parts; from then on a single crash renews it.
 
     Every instance keeps its own copy and judges by the same rules; copies converge through the messages between
-    instances. Its memory is bounded. Does no I/O. Not thread-safe.
+    instances. Its memory is bounded: beyond the bound, the suspects with the fewest crashes are dropped first. Does no
+    I/O. Not thread-safe.
     @see CrashDetector, PeerLink */
 class PromptQuarantine {
 public:
@@ -71,6 +73,7 @@
     /** Ends quarantines and suspicions that are due. Should be called about once a second. */
     void expire();
 
+    size_t suspectCount() const { return m_suspects.size(); }
     bool hasSuspects() const { return !m_suspects.empty(); }
     bool isActive() const { return !m_quarantines.empty(); }
 
@@ -78,6 +81,9 @@
     /** A part of the prompts of one model. */
     using PartKey = std::pair<std::string, uint64_t>;
 
+    /** Parts in ascending order, shared by the suspects of one prompt. */
+    using PartsPtr = std::shared_ptr<const std::vector<uint64_t>>;
+
     /** What is known of a part that was present at crashes. */
     struct Suspect {
         int crashes = 0; ///< Counted at most once in a short time.
@@ -87,7 +93,7 @@
         uint64_t firstServer = 0; ///< Hash of the server's id.
         bool isOnSeveralServers = false;
         bool wasCleared = false; ///< Whether a response cleared it after earlier crashes.
-        std::vector<uint64_t> companions {}; ///< Parts that were present in every suspected request with this part.
+        PartsPtr together; ///< Parts, with this one, that were present in every suspected request with it.
     };
 
     struct Quarantine {
@@ -95,9 +101,14 @@
         TimePoint endsAt {};
     };
 
-    void recordSuspect(uint64_t server, const PromptFingerprint&, uint64_t part);
+    /** Counts the crash for the parts of the prompt that are suspects. */
+    void countCrash(uint64_t server, const PromptFingerprint&);
+    void addSuspects(uint64_t server, const PromptFingerprint&);
     void judge(const PartKey&, const Suspect&);
 
+    /** The other parts that were always present with a suspect and have not been cleared. */
+    std::vector<uint64_t> companionsOf(const PartKey&, const Suspect&) const;
+
     /** Whether another part explains the crashes of this one more specifically. */
     bool isExplainedByCompanion(const PartKey&, const Suspect&) const;
     void quarantine(PromptFingerprint, TimePoint endsAt);
@@ -105,7 +116,9 @@
     /** Makes the parts of an ended quarantine suspects that one more crash quarantines again. */
     void watch(const PromptFingerprint&);
     void clearPart(const PartKey&);
-    void dropOldestSuspect();
+
+    /** Drops the suspects with the fewest and oldest crashes until there is room for so many. */
+    void makeRoom(size_t count);
 
     const Clock& m_clock;
     std::map<PartKey, Suspect> m_suspects;
--- a/tests/borageslip_traffic/PromptQuarantineTests.cpp
+++ b/tests/borageslip_traffic/PromptQuarantineTests.cpp
@@ -38,6 +38,7 @@
     double lostMessages = 0; ///< Share of the messages between instances that are lost.
     bool variesSubject = false; ///< Whether requests that crash servers come with any subject.
     double otherCrashesPerSecond = 0; ///< Crashes of servers for other reasons.
+    uint64_t chatParts = 0; ///< Further parts of each prompt, those of the subject's chat.
     bool replacesInstances = false; ///< Whether an instance is replaced by an empty one every two seconds.
     unsigned seed = 1;
 };
@@ -56,7 +57,7 @@
             m_instances.push_back(std::make_unique<PromptQuarantine>(m_clock));
         for (size_t i = 0; i < load.instances; ++i)
             at(reportInterval() * uniform(), [this, i] { report(i); });
-        repeat(load.soundPerSecond, [this] { send(prompt({ popular, subject + 10 * (1 + number(31)) }), false); });
+        repeat(load.soundPerSecond, [this] { send(promptOf(subject + 10 * (1 + number(31)), {}), false); });
         repeat(load.crashingPerSecond, [this] { send(crashingPrompt(), true); });
         if (load.otherCrashesPerSecond > 0)
             repeat(load.otherCrashesPerSecond, [this] { crash(number(m_load.servers)); });
@@ -107,11 +108,16 @@
         });
     }
 
-    PromptFingerprint crashingPrompt()
+    PromptFingerprint promptOf(uint64_t subjectPart, std::vector<uint64_t> parts) const
     {
-        return prompt({ popular, m_load.variesSubject ? subject + 10 * (1 + number(31)) : subject + 10, crashing });
+        for (uint64_t turn = 0; turn < m_load.chatParts; ++turn)
+            parts.push_back(1'000'000 * subjectPart + turn);
+        parts.insert(parts.end(), { popular, subjectPart });
+        return prompt(std::move(parts));
     }
 
+    PromptFingerprint crashingPrompt() { return promptOf(m_load.variesSubject ? subject + 10 * (1 + number(31)) : subject + 10, { crashing }); }
+
     void toAll(size_t sender, const std::function<void(PromptQuarantine&)>& message)
     {
         for (size_t i = 0; i < m_instances.size(); ++i) {
@@ -242,6 +248,26 @@
     }
 }
 
+// Guards against a limit of parts beyond which a prompt is not suspected, as in the prompts of long chats.
+TEST_CASE("a part that crashes servers is found among hundreds of parts", "[quarantine]")
+{
+    for (const uint64_t chatParts : { 31, 40, 400 }) {
+        for (const bool variesSubject : { false, true }) {
+            for (unsigned seed = 1; seed <= 3; ++seed) {
+                FleetLoad load { 9, 9, 12, 0.6, 0.02, variesSubject };
+                load.chatParts = chatParts;
+                load.seed = seed;
+                SimulatedFleet fleet(load);
+                fleet.run(40s);
+                INFO("parts " << chatParts << " varied " << variesSubject << " seed " << seed << ": " << fleet.crashes() << " crashes, " << fleet.soundRejected() << " sound requests rejected of " << fleet.soundBegun() + fleet.soundRejected());
+                CHECK(fleet.crashes() > 0);
+                CHECK(fleet.sentAfterFifthCrash(3s) <= 3);
+                CHECK(fleet.soundRejected() * 20 <= fleet.soundBegun());
+            }
+        }
+    }
+}
+
 TEST_CASE("crashes of servers for other reasons quarantine no prompt part", "[quarantine]")
 {
     for (unsigned seed = 1; seed <= 10; ++seed) {
@@ -407,8 +433,13 @@
     for (size_t i = 0; i < many.size(); ++i)
         many[i] = 100'000 + i;
     PromptQuarantine other(clock);
-    other.recordCrash(crashOf(1, { prompt(many) }));
-    CHECK_FALSE(other.hasSuspects());
+    for (uint64_t crash = 0; crash < 40; ++crash) {
+        for (auto& part : many)
+            part += 100'000;
+        other.recordCrash(crashOf(crash, { prompt(many) }));
+        CHECK(other.hasSuspects());
+        CHECK(other.suspectCount() <= 4096);
+    }
 }
 
 // Guards against a long prompt or model name that makes the messages about all others too long.
