Quarantine requests that crash servers, and parts on which servers crash late

Cause: the same request came again and again, under new ids, with the same prompt. Also, no evidence was kept of responses that had progressed when their server crashed. Change: a request is also suspected as a whole, by the hash of its prompt with the last part or, without a prompt, of method, target and body; three crashes quarantine it. Responses that had progressed are counted apart; only complete responses refute that evidence, and it takes five crashes over two seconds for a part of a prompt. Messages between instances keep their form. Tests: CrashingServerTests, crashes after 0 to all events, repeated requests with one part, several and none.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -183,24 +183,42 @@
 {
     if (!m_engine.quarantine().isActive())
         return false;
-    const auto timeLeft = m_engine.quarantine().quarantineOf(promptFingerprint(m_metadata));
+    std::optional<Duration> timeLeft;
+    for (const auto& fingerprint : suspectFingerprints(m_metadata, m_request))
+        timeLeft = std::max({ timeLeft, m_engine.quarantine().quarantineOf(fingerprint), m_engine.quarantine().quarantineOf(interruptedFingerprint(fingerprint)) });
     if (!timeLeft)
         return false;
-    m_lastError = { ErrorKind::PromptQuarantined, "backend servers have crashed on parts of this prompt" };
+    m_lastError = { ErrorKind::PromptQuarantined, "backend servers have crashed on this request or on parts of its prompt" };
     m_lastError.retryAfter = toMilliseconds(*timeLeft);
     return true;
 }
 
 asio::awaitable<void> Exchange::checkForCrash(const AttemptState& state)
 {
-    // What clears the parts of a prompt is what makes its request no suspect, so that no crash goes unseen.
-    if (!state.isConnectionLost || state.hasProgressed)
+    if (!state.isConnectionLost)
         co_return;
-    auto suspect = promptFingerprint(m_metadata);
-    if (suspect.parts.empty())
+    auto suspects = interruptedFingerprints();
+    // What clears the parts of a prompt is what makes its request no suspect, so that no crash goes unseen.
+    if (!state.hasProgressed) {
+        auto own = suspectFingerprints(m_metadata, m_request);
+        std::move(own.begin(), own.end(), std::back_inserter(suspects));
+    }
+    const bool mayBeSentAgain = route().mayRunAgain() && m_sendCount + 1 < route().maxAttempts;
+    auto check = m_engine.crashDetector().hasCrashed(state.server, std::move(suspects));
+    if (state.hasProgressed || !mayBeSentAgain) {
+        // Nothing depends on the result.
+        asio::co_spawn(m_engine.executor(), std::move(check), asio::detached);
         co_return;
-    const bool hasCrashed = co_await m_engine.crashDetector().hasCrashed(state.server, std::move(suspect));
-    m_mayHaveCrashedServer = hasCrashed && state.isResponseBegun;
+    }
+    const bool hasCrashed = co_await std::move(check);
+    m_mayHaveCrashedServer = hasCrashed && state.isResponseBegun && !m_metadata.promptParts.empty();
+}
+
+std::vector<PromptFingerprint> Exchange::interruptedFingerprints() const
+{
+    auto fingerprints = suspectFingerprints(m_metadata, m_request);
+    std::transform(fingerprints.begin(), fingerprints.end(), fingerprints.begin(), interruptedFingerprint);
+    return fingerprints;
 }
 
 void Exchange::recordProgress(AttemptState& state)
@@ -209,15 +227,18 @@
     const auto events = m_events.eventCount() - state.earlierEvents;
     if (events > 0 && state.bodyBegunAt == TimePoint())
         state.bodyBegunAt = m_engine.clock().now();
-    if (events < eventsOfProgress || std::exchange(state.hasProgressed, true))
+    if (events < eventsOfProgress || std::exchange(state.hasProgressed, true) || !m_engine.quarantine().hasSuspects())
         return;
-    m_engine.recordPromptProgress(m_metadata, state.bodyBegunAt);
+    m_engine.recordProgress(suspectFingerprints(m_metadata, m_request), state.bodyBegunAt);
 }
 
 void Exchange::recordCompletion(AttemptState& state)
 {
-    if (state.bodyBegunAt != TimePoint() && !std::exchange(state.hasProgressed, true))
-        m_engine.recordPromptProgress(m_metadata, state.bodyBegunAt);
+    if (state.bodyBegunAt == TimePoint() || !m_engine.quarantine().hasSuspects())
+        return;
+    if (!std::exchange(state.hasProgressed, true))
+        m_engine.recordProgress(suspectFingerprints(m_metadata, m_request), state.bodyBegunAt);
+    m_engine.recordProgress(interruptedFingerprints(), state.bodyBegunAt);
 }
 
 int64_t Exchange::promptTokens() const
@@ -676,10 +697,9 @@
         body += reader.takeBody();
     }
     state.server->recordSuccess();
-    if (reader.head().result_int() / 100 == 2) {
+    const bool isSuccess = reader.head().result_int() / 100 == 2;
+    if (isSuccess)
         state.bodyBegunAt = m_engine.clock().now();
-        recordCompletion(state);
-    }
     HttpResponseHead head = reader.head();
     removeHopByHopFields(head);
     const auto length = reader.isDone() ? std::optional<uint64_t>(reader.framing() == BodyFraming::Length ? reader.contentLength().value_or(body.size()) : body.size()) : reader.contentLength();
@@ -693,6 +713,8 @@
         }
         isTaken = co_await m_sink.write(reader.takeBody());
     }
+    if (isSuccess && reader.isDone())
+        recordCompletion(state);
     if (isTaken) {
         co_await m_sink.end();
         countOutcome(&TrafficCounts::answered);
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -130,10 +130,11 @@
     /** Rejects a request whose prompt has quarantined parts: sets the error and returns true. */
     bool isQuarantined();
 
-    /** Reports the request as a suspect if the server has crashed before its response had progressed. */
+    /** Reports the request as a suspect if the server has crashed before its response was complete. */
     boost::asio::awaitable<void> checkForCrash(const AttemptState&);
     void recordProgress(AttemptState&);
     void recordCompletion(AttemptState&);
+    std::vector<PromptFingerprint> interruptedFingerprints() const;
     AttemptResult handleMisdirected(AttemptState&);
     void startDeadline();
     void stop(StopReason);
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -81,14 +81,17 @@
     m_crashDetector.setListener(listener);
 }
 
-void TrafficEngine::recordPromptProgress(const RequestMetadata& metadata, TimePoint begunAt)
+void TrafficEngine::recordProgress(std::span<const PromptFingerprint> fingerprints, TimePoint begunAt)
 {
-    if (!m_quarantine.hasSuspects())
-        return;
-    const auto cleared = m_quarantine.recordProgress(promptFingerprint(metadata), begunAt);
+    for (const auto& fingerprint : fingerprints)
+        notifyOfCleared(m_quarantine.recordProgress(fingerprint, begunAt));
+}
+
+void TrafficEngine::notifyOfCleared(const PromptFingerprint& cleared)
+{
+    constexpr size_t maxPartsOfNotice = 512; ///< Bounds the size of a datagram.
     if (m_promptHealthListener == nullptr)
         return;
-    constexpr size_t maxPartsOfNotice = 512; ///< Bounds the size of a datagram.
     for (std::span parts(cleared.parts); !parts.empty(); parts = parts.subspan(std::min(parts.size(), maxPartsOfNotice))) {
         const auto noticed = parts.first(std::min(parts.size(), maxPartsOfNotice));
         m_promptHealthListener->partsCleared({ cleared.model, { noticed.begin(), noticed.end() } });
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -184,8 +184,9 @@
         all requests. */
     void setPromptHealthListener(PromptHealthListener*);
 
-    /** To be called when the response to a prompt proceeds. @param begunAt when its body began. */
-    void recordPromptProgress(const RequestMetadata&, TimePoint begunAt);
+    /** Clears the parts of the fingerprints, because a response to a request with them proceeds. @param begunAt when its
+        body began. */
+    void recordProgress(std::span<const PromptFingerprint>, TimePoint begunAt);
     const CallerProtocol& protocol() const { return m_protocol; }
     const Clock& clock() const { return m_clock; }
     const boost::asio::any_io_executor& executor() const { return m_executor; }
@@ -213,6 +214,7 @@
     };
 
     ServiceState& serviceState(const std::string& service);
+    void notifyOfCleared(const PromptFingerprint&);
 
     static constexpr size_t scratchBytes = 32 * 1024;
 
--- a/modules/borageslip_traffic/quarantine/CrashDetector.cpp
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -19,8 +19,8 @@
     using std::chrono::milliseconds;
 
     constexpr Duration connectLimit = milliseconds(100); ///< Requests wait for the result before they are sent again.
-    constexpr size_t maxSuspectsOfCrash = 64;
-    constexpr size_t maxSuspectsOfNotice = 16; ///< Bounds the size of a datagram, as does the next.
+    constexpr size_t maxSuspectsOfCrash = 256;
+    constexpr size_t maxSuspectsOfNotice = 32; ///< Bounds the size of a datagram, as does the next.
     constexpr size_t maxPartsOfNotice = 512;
     constexpr size_t maxNoticesOfCrash = 8;
     constexpr int maxReportsPerSecond = 20; ///< Crashes of which the other instances are notified.
@@ -58,7 +58,7 @@
 {
 }
 
-asio::awaitable<bool> CrashDetector::hasCrashed(BackendServerPtr server, PromptFingerprint suspect)
+asio::awaitable<bool> CrashDetector::hasCrashed(BackendServerPtr server, std::vector<PromptFingerprint> suspects)
 {
     auto& running = m_checks[server->hash()];
     const bool isFirst = running == nullptr;
@@ -66,7 +66,7 @@
         running = std::make_shared<Check>(m_executor);
     const auto own = running;
     if (own->suspects.size() < maxSuspectsOfCrash)
-        own->suspects.push_back(std::move(suspect));
+        std::move(suspects.begin(), suspects.end(), std::back_inserter(own->suspects));
     if (isFirst) {
         own->ended.expires_at(asio::steady_timer::time_point::max());
         asio::co_spawn(m_executor, check(server, own), [this, server, own](const std::exception_ptr& failure) {
@@ -110,11 +110,15 @@
 void CrashDetector::report(const BackendServer& server, Check& running)
 {
     ++m_crashCount;
-    const ServerCrash crash { server.hash(), std::move(running.suspects) };
+    ServerCrash crash { server.hash(), std::move(running.suspects) };
+    // The stronger evidence comes first, in case not all of it can be sent.
+    std::stable_partition(crash.suspects.begin(), crash.suspects.end(), [](const auto& suspect) { return !isInterruptedScope(suspect.model); });
     constexpr size_t maxLoggedParts = 32;
     auto suspects = nlohmann::json::array();
-    for (const auto& suspect : crash.suspects)
-        suspects.push_back(suspect.parts.size() <= maxLoggedParts ? fingerprintJson(suspect) : nlohmann::json { { "model", suspect.model }, { "part_count", suspect.parts.size() } });
+    for (const auto& suspect : crash.suspects) {
+        if (!isInterruptedScope(suspect.model))
+            suspects.push_back(suspect.parts.size() <= maxLoggedParts ? fingerprintJson(suspect) : nlohmann::json { { "model", suspect.model }, { "part_count", suspect.parts.size() } });
+    }
     logEvent(Severity::Warning, "server-crashed", { { "server", server.description().id }, { "suspects", std::move(suspects) } });
     m_quarantine.recordCrash(crash);
     if (m_listener == nullptr || !mayReport())
--- a/modules/borageslip_traffic/quarantine/CrashDetector.h
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.h
@@ -25,8 +25,8 @@
     void setListener(PromptHealthListener* listener) { m_listener = listener; }
 
     /** Completes when it is known whether the server has crashed, after a short time at the latest.
-        @param suspect fingerprint of a request whose response had not progressed. */
-    boost::asio::awaitable<bool> hasCrashed(BackendServerPtr, PromptFingerprint suspect);
+        @param suspects fingerprints of a request whose response was not complete. */
+    boost::asio::awaitable<bool> hasCrashed(BackendServerPtr, std::vector<PromptFingerprint> suspects);
 
     /** Crashes that this instance has observed and reported. */
     uint64_t crashCount() const { return m_crashCount; }
--- a/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr size_t maxModelBytes = 64;
+    constexpr std::string_view interruptedPrefix = " interrupted ";
 
     std::string hexadecimalText(uint64_t number)
     {
@@ -35,6 +36,42 @@
     return fingerprint;
 }
 
+PromptFingerprint requestFingerprint(const RequestMetadata& metadata, const HttpRequest& request)
+{
+    uint64_t hash = hashBytes(metadata.model);
+    for (const auto& part : metadata.promptParts)
+        hash = hashPair(hash, part.id);
+    if (metadata.promptParts.empty()) {
+        const auto target = request.target();
+        hash = hashPair(hashBytes({ target.data(), target.size() }, static_cast<uint64_t>(request.method())), hashBytes(request.body()));
+    }
+    return { std::string(requestScope), { hash } };
+}
+
+std::vector<PromptFingerprint> suspectFingerprints(const RequestMetadata& metadata, const HttpRequest& request)
+{
+    std::vector<PromptFingerprint> fingerprints { requestFingerprint(metadata, request) };
+    if (auto prompt = promptFingerprint(metadata); !prompt.parts.empty())
+        fingerprints.push_back(std::move(prompt));
+    return fingerprints;
+}
+
+PromptFingerprint interruptedFingerprint(PromptFingerprint fingerprint)
+{
+    fingerprint.model.insert(0, interruptedPrefix);
+    return fingerprint;
+}
+
+bool isInterruptedScope(std::string_view scope)
+{
+    return scope.starts_with(interruptedPrefix);
+}
+
+bool isRequestScope(std::string_view scope)
+{
+    return scope.ends_with(requestScope);
+}
+
 std::string partsText(const PromptFingerprint& fingerprint)
 {
     std::string text;
--- a/modules/borageslip_traffic/quarantine/PromptFingerprint.h
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../http/HttpMessages.h"
 #include "../protocol/CallerProtocol.h"
 
 #include <cstdint>
@@ -25,6 +26,24 @@
 /** Returns the fingerprint of a request's prompt; without parts if its prompt has no shared part. */
 PromptFingerprint promptFingerprint(const RequestMetadata&);
 
+/** Stands in place of a model for whole requests. Not a model's name, since header fields don't begin with a space. */
+constexpr std::string_view requestScope = " request";
+
+/** Returns the fingerprint of all that a server gets from the caller: the whole prompt or, without one, method, target and
+    body. It has one part, which only repetitions of the request share. */
+PromptFingerprint requestFingerprint(const RequestMetadata&, const HttpRequest&);
+
+/** Returns the fingerprints by which a request is suspected of crashing its server. */
+std::vector<PromptFingerprint> suspectFingerprints(const RequestMetadata&, const HttpRequest&);
+
+/** Returns the fingerprint in the scope of responses that were interrupted after they had progressed. Such a response is
+    weaker evidence, which only complete responses refute. */
+PromptFingerprint interruptedFingerprint(PromptFingerprint);
+bool isInterruptedScope(std::string_view scope);
+
+/** Whether the scope is that of whole requests, interrupted or not. */
+bool isRequestScope(std::string_view scope);
+
 /** The parts in hexadecimal, as callers send them, separated by commas. */
 std::string partsText(const PromptFingerprint&);
 
--- a/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptQuarantine.cpp
@@ -14,7 +14,10 @@
 
     constexpr Duration countInterval = milliseconds(100); ///< Crashes closer together count once: several servers may fail for one other reason.
     constexpr int crashesOfCombination = 3; ///< Counted crashes after which a combination of parts is quarantined.
+    constexpr int crashesOfRequest = 3; ///< The same for a whole request, on which only its repetitions depend.
     constexpr int crashesOfSinglePart = 4; ///< The same for a single part, on which more sound requests may depend.
+    constexpr int crashesOfInterrupted = 5; ///< The same for responses that had progressed: many sound ones are interrupted by each crash.
+    constexpr Duration interruptedTime = std::chrono::seconds(2); ///< From the first crash, in which sound prompts have complete responses.
     constexpr int extraCrashesOfCleared = 2; ///< Needed in addition for a part that was cleared before.
     constexpr int crashesOfCompanion = 2; ///< Counted crashes from which on a part can explain those of another one.
     constexpr Duration suspectLifetime = std::chrono::minutes(2); ///< After the last crash of the suspect.
@@ -131,10 +134,15 @@
 
 void PromptQuarantine::judge(const PartKey& key, const Suspect& suspect)
 {
-    if (suspect.crashes < crashesOfCombination || !suspect.isOnSeveralServers)
+    if (suspect.crashes < std::min(crashesOfCombination, crashesOfRequest) || !suspect.isOnSeveralServers)
+        return;
+    const bool isRequest = isRequestScope(key.first);
+    const bool isInterruptedPrompt = !isRequest && isInterruptedScope(key.first);
+    if (isInterruptedPrompt && (suspect.crashes < crashesOfInterrupted || m_clock.now() - suspect.firstAt < interruptedTime))
         return;
     auto companions = companionsOf(key, suspect);
-    const int needed = (companions.empty() ? crashesOfSinglePart : crashesOfCombination) + (suspect.wasCleared ? extraCrashesOfCleared : 0);
+    const int neededAlone = isRequest ? crashesOfRequest : crashesOfSinglePart;
+    const int needed = (companions.empty() ? neededAlone : crashesOfCombination) + (suspect.wasCleared ? extraCrashesOfCleared : 0);
     if (suspect.crashes < needed || isExplainedByCompanion(key, suspect))
         return;
     // A combination of fewer parts applies to more prompts, and its messages are shorter.
--- a/tests/borageslip_traffic/CrashingServerTests.cpp
+++ b/tests/borageslip_traffic/CrashingServerTests.cpp
@@ -14,6 +14,7 @@
 
 #include <catch2/catch.hpp>
 #include <list>
+#include <set>
 #include <sstream>
 
 using namespace borageslip;
@@ -122,7 +123,7 @@
             if (number < first + m_eventsBeforeCrash)
                 begun = body;
         }
-        const bool isCrash = parts.find(" " + std::to_string(crashingPart) + " ") != std::string::npos;
+        const bool isCrash = parts.find(" " + std::to_string(crashingPart) + " ") != std::string::npos || head.find("/deadly") != std::string::npos;
         const size_t missing = isCrash ? 1 : 0; // A crash leaves the response incomplete even after its last event.
         const auto responseHead = "HTTP/1.1 200 OK\r\nId: " + fieldOf(head, "Id") + "\r\nContent-Type: text/event-stream\r\nContent-Length: " + std::to_string(body.size() + missing) + "\r\n\r\n";
         return { responseHead + (isCrash ? begun : body), isCrash };
@@ -257,6 +258,9 @@
         while (!isDone && std::chrono::steady_clock::now() < until)
             m_context.run_one_for(100ms);
         REQUIRE(isDone);
+        // The check of a server whose result nobody waits for.
+        m_context.restart();
+        m_context.run_for(20ms);
         for (auto& server : m_servers)
             server.restart();
         m_clock.advance(1s);
@@ -274,7 +278,7 @@
         return times.size() < 5 ? 0 : std::count_if(times.begin(), times.end(), [&](TimePoint at) { return at > times[4] + contactTime; });
     }
 
-    PromptQuarantine& quarantine() { return m_engine.quarantine(); }
+    void setListener(PromptHealthListener* listener) { m_engine.setPromptHealthListener(listener); }
 
 private:
     static TrafficSettings settings()
@@ -310,3 +314,86 @@
         }
     }
 }
+
+// Guards against evidence that is dropped once a response has progressed: a crash may come after any number of events.
+TEST_CASE("a prompt part that crashes servers after some events is quarantined", "[quarantine]")
+{
+    for (const bool isResumable : { false, true }) {
+        for (const int events : { 2, 3, CrashingServer::eventCount }) {
+            INFO("events before the crash " << events << ", resumable " << isResumable);
+            CrashScene scene(events, isResumable);
+            for (int i = 0; i < 20; ++i) {
+                scene.ask("1 2 666 " + std::to_string(1000 + i));
+                CHECK(scene.ask("1 2 " + std::to_string(2000 + i)).isComplete);
+            }
+            CHECK(scene.lateCrashes() <= 3);
+            CHECK(scene.ask("1 2 666 5000").failure == ErrorKind::PromptQuarantined);
+        }
+    }
+}
+
+// Guards against a request that crashes each server it is repeated at, while sound requests share all parts of its prompt
+// but the last, which the fingerprint of the prompt leaves out.
+TEST_CASE("a request that crashes servers is quarantined and sound requests with the same shared parts are served", "[quarantine]")
+{
+    const std::vector<std::pair<std::string, std::string>> requests { { "1 2 666", "/stream/a" }, { "666", "/stream/a" }, { "", "/stream/deadly" } };
+    for (const auto& [parts, target] : requests) {
+        for (const int events : { 0, 1, 3 }) {
+            INFO("parts \"" << parts << "\", events before the crash " << events);
+            CrashScene scene(events, true);
+            for (int i = 0; i < 20; ++i) {
+                scene.ask(parts, target);
+                CHECK(scene.ask("1 2 " + std::to_string(2000 + i)).isComplete);
+                CHECK(scene.ask("", "/stream/sound").isComplete);
+            }
+            CHECK(scene.lateCrashes() <= 3);
+            CHECK(scene.ask(parts, target).failure == ErrorKind::PromptQuarantined);
+        }
+    }
+}
+
+TEST_CASE("a part that crashes servers is quarantined in prompts with hundreds of parts", "[quarantine]")
+{
+    for (const int turns : { 40, 400 }) {
+        INFO("turns " << turns);
+        CrashScene scene(0, false);
+        for (int i = 0; i < 12; ++i) {
+            std::string chat = "1 2 ";
+            for (int turn = 0; turn < turns; ++turn)
+                chat += std::to_string(10'000 * (1 + i % 4) + turn) + " ";
+            scene.ask(chat + "666 " + std::to_string(1'000'000 + i));
+            CHECK(scene.ask(chat + std::to_string(2'000'000 + i)).isComplete);
+        }
+        CHECK(scene.lateCrashes() <= 3);
+        CHECK(scene.ask("1 2 666 5000").failure == ErrorKind::PromptQuarantined);
+    }
+}
+
+// Guards against messages that are too long to be sent, or that leave out parts of a long prompt.
+TEST_CASE("the notices of a crash have bounded sizes and all parts of the prompts", "[quarantine]")
+{
+    class Recorder final : public PromptHealthListener {
+    public:
+        void serverCrashed(const ServerCrash& crash) override
+        {
+            sizes.push_back(encodeServerCrashNotice({ "instance", crash }).size());
+            for (const auto& suspect : crash.suspects) {
+                if (suspect.model == "m")
+                    parts.insert(suspect.parts.begin(), suspect.parts.end());
+            }
+        }
+        void partsCleared(const PromptFingerprint&) override { }
+
+        std::vector<size_t> sizes;
+        std::set<uint64_t> parts;
+    } recorder;
+    CrashScene scene(0, false);
+    scene.setListener(&recorder);
+    std::string chat;
+    for (int turn = 0; turn < 900; ++turn)
+        chat += std::to_string(10'000 + turn) + " ";
+    scene.ask(chat + "666 7");
+    CHECK(recorder.parts.size() == 901);
+    for (const auto size : recorder.sizes)
+        CHECK(size < 8 * 1024);
+}
