Serve new connections at the limit of sessions

Callers saw: with 2,300 idle connections held, 40 of 40 requests on new connections got no answer within 3.7 s; the kernel took the connections, and they waited. Cause: at the limit, the listener accepted one connection every 50 ms, and idle sessions kept their places. Change: at the limit, the session that has waited for a request for the longest time is closed in favour of a new one. If none waits, the new one gets 503 as not run at once; an eighth of the limit is left for such sessions. Tests: CallerListenerTests, idle and busy connections at the limit.

--- a/modules/borageslip_traffic/caller/CallerListener.cpp
+++ b/modules/borageslip_traffic/caller/CallerListener.cpp
@@ -19,6 +19,7 @@
 
     constexpr int listenBacklog = 4096;
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50); ///< After a failure, such as too many file descriptors, or at the session limit.
+    constexpr size_t rejectingSessionsDivisor = 8; ///< Of the session limit: sessions beyond it, whose requests are rejected.
 
 }
 
@@ -63,14 +64,9 @@
         co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
         if (failure == asio::error::operation_aborted)
             co_return;
-        if (!failure) {
-            auto session = std::make_shared<CallerSession>(m_engine, std::move(socket));
-            session->start();
-            if (m_isDraining)
-                session->beginDrain();
-            m_sessions.push_back(session);
-        }
-        if (failure || sessionCount() >= m_maxSessions) {
+        if (!failure)
+            startSession(std::move(socket));
+        if (failure || sessionCount() >= m_maxSessions + m_maxSessions / rejectingSessionsDivisor) {
             logEvent(Severity::Warning, "accept-paused", { { "sessions", m_sessions.size() }, { "detail", failure.message() } });
             pause.expires_after(acceptRetryDelay);
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failure));
@@ -78,6 +74,32 @@
     }
 }
 
+void CallerListener::startSession(tcp::socket socket)
+{
+    const bool isFull = sessionCount() >= m_maxSessions && !closeLongestWaiting();
+    auto session = std::make_shared<CallerSession>(m_engine, std::move(socket));
+    session->start();
+    if (isFull)
+        session->rejectRequests();
+    if (m_isDraining)
+        session->beginDrain();
+    m_sessions.push_back(session);
+}
+
+bool CallerListener::closeLongestWaiting()
+{
+    std::shared_ptr<CallerSession> longest;
+    for (const auto& entry : m_sessions) {
+        auto session = entry.lock();
+        if (session && session->waitingSince() && (!longest || *session->waitingSince() < *longest->waitingSince()))
+            longest = std::move(session);
+    }
+    if (!longest)
+        return false;
+    longest->closeIfWaiting();
+    return true;
+}
+
 void CallerListener::removeEndedSessions()
 {
     std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
--- a/modules/borageslip_traffic/caller/CallerListener.h
+++ b/modules/borageslip_traffic/caller/CallerListener.h
@@ -36,6 +36,11 @@
     boost::asio::awaitable<void> acceptLoop();
     void removeEndedSessions();
 
+    /** Starts a session. At the limit, the session that has waited for a request for the longest time is closed in its
+        favour; if none waits, the new one rejects its requests. */
+    void startSession(boost::asio::ip::tcp::socket);
+    bool closeLongestWaiting();
+
     TrafficEngine& m_engine;
     size_t m_maxSessions;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -61,6 +61,15 @@
     m_received.notify();
 }
 
+void CallerSession::closeIfWaiting()
+{
+    if (!m_waitingSince)
+        return;
+    m_waitingSince.reset();
+    m_isClosing = true;
+    m_received.notify();
+}
+
 void CallerSession::handleDisconnect()
 {
     m_isDisconnected = true;
@@ -102,6 +111,7 @@
         m_exchange.reset();
     }
     m_isDisconnected = true;
+    m_waitingSince.reset();
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_consumed.notify();
@@ -109,14 +119,16 @@
 
 asio::awaitable<bool> CallerSession::serveRequest()
 {
-    const auto idleTimeout = m_engine.callerLimits().idleTimeout;
+    const auto idleTimeout = m_rejectsRequests ? m_engine.callerLimits().headerTimeout : m_engine.callerLimits().idleTimeout;
+    m_waitingSince = m_engine.clock().now();
     while (m_receiveBuffer.empty()) {
-        if (m_isDisconnected || (m_isDraining && m_hasServedRequest))
+        if (m_isDisconnected || m_isClosing || (m_isDraining && m_hasServedRequest))
             co_return false;
         const bool hasReceived = co_await m_received.waitFor(idleTimeout + idleMargin);
         if (!hasReceived)
             co_return false;
     }
+    m_waitingSince.reset();
     const auto arrivedAt = m_engine.clock().now();
     const auto limits = m_engine.callerLimits();
     RequestReader reader(limits.maxHeaderBytes, limits.maxBodyBytes);
@@ -131,6 +143,11 @@
     m_keepsConnection = reader.request().keep_alive();
     m_httpVersion = reader.request().version();
     m_isHeadRequest = reader.request().method() == boost::beast::http::verb::head;
+    if (m_rejectsRequests) {
+        m_keepsConnection = false;
+        co_await sendError(overloadedError("the instance has too many connections"));
+        co_return false;
+    }
     m_exchange = std::make_shared<Exchange>(m_engine, *this, reader.take(), arrivedAt);
     co_await m_exchange->run();
     m_exchange.reset();
@@ -156,9 +173,7 @@
         }
         if (!isMemoryLeft) {
             m_keepsConnection = false;
-            Error overloaded { ErrorKind::Overloaded, "the requests of all callers hold too much memory" };
-            overloaded.retryAfter = m_engine.retryAfter(limits.headerTimeout, {});
-            co_await sendError(overloaded);
+            co_await sendError(overloadedError("the requests of all callers hold too much memory"));
             co_return false;
         }
         if (reader.isDone())
@@ -183,6 +198,13 @@
     }
 }
 
+Error CallerSession::overloadedError(std::string_view detail)
+{
+    Error overloaded { ErrorKind::Overloaded, std::string(detail) };
+    overloaded.retryAfter = m_engine.retryAfter(m_engine.callerLimits().headerTimeout, {});
+    return overloaded;
+}
+
 asio::awaitable<bool> CallerSession::flush()
 {
     if (m_isDisconnected)
--- a/modules/borageslip_traffic/caller/CallerSession.h
+++ b/modules/borageslip_traffic/caller/CallerSession.h
@@ -25,6 +25,15 @@
 
     bool isIdle() const { return !m_exchange; }
 
+    /** Closes the connection at once if it waits for a request. */
+    void closeIfWaiting();
+
+    /** Rejects all requests, because the listener has too many sessions. */
+    void rejectRequests() { m_rejectsRequests = true; }
+
+    /** Since when it has waited for a request; absent while it receives or serves one, or closes. */
+    const std::optional<TimePoint>& waitingSince() const { return m_waitingSince; }
+
     boost::asio::awaitable<bool> begin(const HttpResponseHead&, std::optional<uint64_t> length) override;
     boost::asio::awaitable<bool> write(std::string_view bytes) override;
     boost::asio::awaitable<bool> end() override;
@@ -49,6 +58,7 @@
 
     /** States the bytes that the session holds. Returns whether the memory budget allows them. */
     bool holdMemory() { return m_memory.hold(m_receiveBuffer.size() + m_requestBytes); }
+    Error overloadedError(std::string_view detail);
     bool closesAfterResponse() const { return m_isDraining || !m_keepsConnection; }
     void handleDisconnect();
 
@@ -69,6 +79,9 @@
     bool m_hasBegun = false; ///< Whether bytes of the response have been sent.
     bool m_isDisconnected = false;
     bool m_isDraining = false;
+    bool m_isClosing = false;
+    bool m_rejectsRequests = false;
+    std::optional<TimePoint> m_waitingSince;
     bool m_hasServedRequest = false;
     bool m_keepsConnection = true;
 };
