Accept responses whose head arrives before their body

Callers saw: a response with Content-Length was lost (502, may have run) whenever its head arrived alone, as from servers that write head and body apart. Cause: Boost 1.74 compares the length with an empty limit, which is less than any length; the error is overwritten if bytes of the body follow in the same read. Change: the largest limit in place of none. Test: "a response that arrives byte by byte is read completely" failed before.

--- a/modules/borageslip_traffic/engine/ResponseSource.cpp
+++ b/modules/borageslip_traffic/engine/ResponseSource.cpp
@@ -36,8 +36,9 @@
     if (failure)
         co_return false;
     m_connection.receiveBuffer.append(m_scratch.data(), count);
-    const bool isValid = isOk(m_reader.feed(m_connection.receiveBuffer));
-    co_return isValid && m_memory.hold(retained + m_connection.receiveBuffer.size() + m_reader.bodyBytes());
+    if (!isOk(m_reader.feed(m_connection.receiveBuffer)))
+        co_return false;
+    co_return m_memory.hold(retained + m_connection.receiveBuffer.size() + m_reader.bodyBytes());
 }
 
 asio::awaitable<bool> ResponseSource::discardRest()
--- a/modules/borageslip_traffic/http/HttpMessages.cpp
+++ b/modules/borageslip_traffic/http/HttpMessages.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
+#include <limits>
 #include <vector>
 
 namespace borageslip {
@@ -107,7 +108,8 @@
 {
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->body_limit(boost::none);
+    // Boost 1.74 takes boost::none for a limit of zero when a head with Content-Length arrives without bytes of its body.
+    m_parser->body_limit(std::numeric_limits<uint64_t>::max());
     if (m_body == Body::None)
         m_parser->skip(true);
 }
--- a/tests/borageslip_traffic/HttpMessagesTests.cpp
+++ b/tests/borageslip_traffic/HttpMessagesTests.cpp
@@ -80,6 +80,22 @@
     CHECK_FALSE(isOk(reader.handleEof()));
 }
 
+// Guards against a response that is taken for lost because its head and its body arrive one after the other.
+TEST_CASE("a response that arrives byte by byte is read completely")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const auto& text : std::vector<std::string> { head + "Content-Length: 3\r\n\r\nabc", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", head + "\r\nabc" }) {
+        ResponseReader reader(ResponseReader::Body::Expected);
+        std::string buffer;
+        for (const char byte : text) {
+            buffer.push_back(byte);
+            REQUIRE(isOk(reader.feed(buffer)));
+        }
+        REQUIRE(isOk(reader.handleEof()));
+        CHECK(reader.takeBody() == "abc");
+    }
+}
+
 TEST_CASE("a connection that ends before any byte of a response yields no response")
 {
     ResponseReader reader(ResponseReader::Body::Expected);
