Ignore SIGHUP before the handlers are installed

Operators saw: SIGHUP in the first moments of a process ends it; the handler was registered after all had been built. Change: SIGHUP is ignored from before the constructors of the shared libraries on, and the handlers are installed once the settings are read. Evidence: entry_test, a process that waits for its settings survives SIGHUP and stops in order.

--- a/apps/borageslip-entry/Main.cpp
+++ b/apps/borageslip-entry/Main.cpp
@@ -26,15 +26,29 @@
     return borageslip::platform::parseSettings(borageslip::value(text));
 }
 
+/** Ignores SIGHUP, which ends a process by default, until SignalHandler takes over. */
+void ignoreHangup(int /*count*/, char** /*arguments*/, char** /*environment*/)
+{
+    std::signal(SIGHUP, SIG_IGN);
+}
+
+// Runs before the constructors of the shared libraries, which take the most time of a start.
+[[gnu::section(".preinit_array"), gnu::used]] void (*const s_earlyStart)(int, char**, char**) = ignoreHangup;
+
 /** Starts a planned stop on SIGTERM or SIGINT, and validates the settings file on SIGHUP.
-    Handles signals for as long as the event loop runs. */
+    Keeps the signals that come before the event loop runs, and handles them once it does. */
 class SignalHandler {
 public:
-    SignalHandler(boost::asio::io_context& context, borageslip::platform::PlatformInstance& instance, std::string settingsPath)
+    SignalHandler(boost::asio::io_context& context, std::string settingsPath)
         : m_signals(context, SIGTERM, SIGINT, SIGHUP)
-        , m_instance(instance)
         , m_settingsPath(std::move(settingsPath))
     {
+    }
+
+    /** Begins to handle signals. The instance must outlive the event loop. */
+    void start(borageslip::platform::PlatformInstance& instance)
+    {
+        m_instance = &instance;
         awaitSignal();
     }
 
@@ -47,7 +61,7 @@
             if (signal == SIGHUP)
                 checkSettings();
             else
-                m_instance.beginStop();
+                m_instance->beginStop();
             awaitSignal();
         });
     }
@@ -62,7 +76,7 @@
     }
 
     boost::asio::signal_set m_signals;
-    borageslip::platform::PlatformInstance& m_instance;
+    borageslip::platform::PlatformInstance* m_instance = nullptr;
     std::string m_settingsPath;
 };
 
@@ -89,16 +103,17 @@
     if (isCheckOnly)
         return Success;
 
+    boost::asio::io_context context(1);
+    SignalHandler signals(context, settingsPath);
     std::signal(SIGPIPE, SIG_IGN);
     borageslip::initialiseLog(borageslip::severityFromName(logLevel), "borageslip-entry/" + borageslip::value(settings).instanceName, { borageslip::LogOptions::Destination::StandardOutput, logLinesPerSecond });
     const borageslip::BootClock clock;
-    boost::asio::io_context context(1);
     borageslip::platform::PlatformInstance instance(context, clock, borageslip::value(std::move(settings)));
     if (const auto started = instance.start(); !borageslip::isOk(started)) {
         borageslip::logEvent(borageslip::Severity::Error, "start-failed", { { "detail", borageslip::error(started).detail } });
         return CannotListen;
     }
-    const SignalHandler signals(context, instance, settingsPath);
+    signals.start(instance);
     while (!context.stopped()) {
         try {
             context.run();
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import json
+import os
 import pathlib
 import random
 import signal
@@ -688,6 +689,33 @@
     check("its member record has been removed from the store", is_removed)
 
 
+async def check_signals_during_start(binary, folder, store_address):
+    """Guards against a process that SIGHUP ends before it has read its settings and is built."""
+    entry = Entry(binary, folder, store_address, name="entry-starting")
+    text = entry.path.read_text()
+    entry.path.unlink()
+    os.mkfifo(entry.path)  # Its reader waits for a writer.
+    await entry.start()
+    await asyncio.sleep(0.5)
+    entry.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.2)
+    check("SIGHUP does not end a process that starts", entry.process.returncode is None, entry.process.returncode)
+    if entry.process.returncode is None:
+        await asyncio.wait_for(asyncio.to_thread(entry.path.write_text, text), 5)
+        check("a process that got SIGHUP while it started listens", await entry.wait_until(lambda: answers(entry), 5))
+        entry.process.send_signal(signal.SIGTERM)
+    code = await asyncio.wait_for(entry.process.wait(), 8)
+    check("it stops in order afterwards", code == 0, code)
+
+
+async def answers(entry):
+    """Whether the status listener accepts connections."""
+    try:
+        return (await entry.get(entry.ready, "/borageslip/ready")).status in (200, 503)
+    except OSError:
+        return False
+
+
 async def check_explain(fleet):
     """Guards against logs that do not explain a failed request: not accepted, response lost, refused in a store outage."""
     entry = fleet.entry
@@ -711,6 +739,7 @@
     for server in servers:
         _, server.address = await start_server(server.serve)
     with tempfile.TemporaryDirectory() as folder:
+        await check_signals_during_start(binary, folder, store_address)
         entry = Entry(binary, folder, store_address)
         fleet = Fleet(store, servers, entry)
         await entry.start()
