Count the crash of a server that listens again at once

Change: the suspects of a check without a crash are kept for 5 s, for 64 servers at the most; a new start in the server's entry makes it a crash. The scope of whole requests is compared exactly, so that no model name is taken for it. Test: "a part that crashes servers is quarantined if they listen again at once".

--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -73,6 +73,7 @@
     , m_quarantine(clock)
     , m_crashDetector(clock, executor, m_quarantine)
 {
+    m_servers.setRestartHandler([this](const BackendServer& server) { m_crashDetector.serverRestarted(server); });
 }
 
 void TrafficEngine::setPromptHealthListener(PromptHealthListener* listener)
--- a/modules/borageslip_traffic/quarantine/CrashDetector.cpp
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -23,6 +23,8 @@
     constexpr size_t maxSuspectsOfNotice = 32; ///< Bounds the size of a datagram, as does the next.
     constexpr size_t maxPartsOfNotice = 512;
     constexpr size_t maxNoticesOfCrash = 8;
+    constexpr Duration restartTime = std::chrono::seconds(5); ///< From a lost connection to the entry of the server's next start.
+    constexpr size_t maxUnconfirmed = 64; ///< Servers.
     constexpr int maxReportsPerSecond = 20; ///< Crashes of which the other instances are notified.
 
     /** Divides the suspects of a crash into notices to the other instances; those beyond the limit are left out. The parts
@@ -94,9 +96,36 @@
     m_checks.erase(server.hash());
     if (ended.hasCrashed)
         report(server, ended);
+    else
+        remember(server, ended);
     ended.ended.cancel();
 }
 
+void CrashDetector::remember(const BackendServer& server, Check& ended)
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_unconfirmed, [&](const auto& entry) { return now - entry.second.at >= restartTime; });
+    if (m_unconfirmed.size() >= maxUnconfirmed && !m_unconfirmed.contains(server.hash()))
+        return;
+    auto& suspects = m_unconfirmed[server.hash()].suspects;
+    m_unconfirmed[server.hash()].at = now;
+    if (suspects.size() < maxSuspectsOfCrash)
+        std::move(ended.suspects.begin(), ended.suspects.end(), std::back_inserter(suspects));
+}
+
+void CrashDetector::serverRestarted(const BackendServer& server)
+{
+    const auto found = m_unconfirmed.find(server.hash());
+    if (found == m_unconfirmed.end())
+        return;
+    const auto lost = m_unconfirmed.extract(found);
+    if (m_clock.now() - lost.mapped().at >= restartTime)
+        return;
+    Check check(m_executor);
+    check.suspects = std::move(lost.mapped().suspects);
+    report(server, check);
+}
+
 bool CrashDetector::mayReport()
 {
     const auto now = m_clock.now();
--- a/modules/borageslip_traffic/quarantine/CrashDetector.h
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <unordered_map>
 
@@ -28,6 +29,10 @@
         @param suspects fingerprints of a request whose response was not complete. */
     boost::asio::awaitable<bool> hasCrashed(BackendServerPtr, std::vector<PromptFingerprint> suspects);
 
+    /** To be called when the server's entry shows that it has started again. If its connections were lost shortly before and
+        it accepted the check, it has crashed all the same. */
+    void serverRestarted(const BackendServer&);
+
     /** Crashes that this instance has observed and reported. */
     uint64_t crashCount() const { return m_crashCount; }
 
@@ -45,6 +50,7 @@
 
     boost::asio::awaitable<void> check(BackendServerPtr, std::shared_ptr<Check>);
     void endCheck(const BackendServer&, Check&);
+    void remember(const BackendServer&, Check&);
     void report(const BackendServer&, Check&);
     bool mayReport();
 
@@ -53,6 +59,13 @@
     PromptQuarantine& m_quarantine;
     PromptHealthListener* m_listener = nullptr;
     std::unordered_map<uint64_t, std::shared_ptr<Check>> m_checks; ///< By the server's hash.
+
+    /** Suspects of a server that lost connections and was not seen to crash. */
+    struct Unconfirmed {
+        TimePoint at {};
+        std::vector<PromptFingerprint> suspects {};
+    };
+    std::map<uint64_t, Unconfirmed> m_unconfirmed; ///< By the server's hash.
     TimePoint m_reportsCountedFrom {};
     int m_reportCount = 0; ///< Since m_reportsCountedFrom.
     uint64_t m_crashCount = 0;
--- a/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
+++ b/modules/borageslip_traffic/quarantine/PromptFingerprint.cpp
@@ -69,7 +69,9 @@
 
 bool isRequestScope(std::string_view scope)
 {
-    return scope.ends_with(requestScope);
+    if (isInterruptedScope(scope))
+        scope.remove_prefix(interruptedPrefix.size());
+    return scope == requestScope;
 }
 
 std::string partsText(const PromptFingerprint& fingerprint)
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -33,6 +33,8 @@
         found->second->update(std::move(description));
         return;
     }
+    if (m_restartHandler && known.startedAtMs != description.startedAtMs)
+        m_restartHandler(*found->second);
     remove(description.id);
     add(std::move(description));
 }
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -4,6 +4,7 @@
 #include "BackendServer.h"
 #include "ServerHealth.h"
 
+#include <functional>
 #include <map>
 #include <span>
 #include <string_view>
@@ -24,6 +25,9 @@
     void apply(ServerDescription);
     void remove(std::string_view id);
 
+    /** Sets what is called with a server of which a new start is listed, before it is replaced. */
+    void setRestartHandler(std::function<void(const BackendServer&)> handler) { m_restartHandler = std::move(handler); }
+
     /** Removes a backend server whose entry was missing when the store recovered from an outage, after a grace period
         and unless it is listed again by then: entries of live servers that expired during the outage return. */
     void scheduleRemoval(std::string_view id);
@@ -63,6 +67,7 @@
 
     const Clock& m_clock;
     boost::asio::any_io_executor m_executor;
+    std::function<void(const BackendServer&)> m_restartHandler;
     std::map<std::string, BackendServerPtr, std::less<>> m_servers;
     std::map<std::string, std::vector<BackendServerPtr>, std::less<>> m_byService;
     std::unordered_map<uint64_t, BackendServerPtr> m_byHash;
--- a/tests/borageslip_traffic/CrashingServerTests.cpp
+++ b/tests/borageslip_traffic/CrashingServerTests.cpp
@@ -82,6 +82,7 @@
     }
 
     void stop() { m_acceptor.close(); }
+    void setRestartsAtOnce() { m_restartsAtOnce = true; }
 
 private:
     asio::awaitable<void> accept()
@@ -143,7 +144,8 @@
             co_await asio::async_write(socket, asio::buffer(reply.bytes), asio::redirect_error(asio::use_awaitable, failure));
             if (reply.isCrash) {
                 m_crashes.push_back(m_clock.now());
-                m_acceptor.close();
+                if (!m_restartsAtOnce)
+                    m_acceptor.close();
             }
             if (failure || reply.isCrash)
                 co_return;
@@ -156,6 +158,7 @@
     asio::ip::tcp::endpoint m_endpoint;
     int m_eventsBeforeCrash;
     std::vector<TimePoint> m_crashes;
+    bool m_restartsAtOnce = false;
 };
 
 /** Takes a response and drops it. */
@@ -222,11 +225,7 @@
         m_engine.setConfiguration(std::make_shared<const TrafficConfiguration>(value(builder.build())));
         for (int i = 0; i < 6; ++i) {
             auto& server = m_servers.emplace_back(m_context, m_clock, eventsBeforeCrash);
-            ServerDescription description;
-            description.id = "server" + std::to_string(i);
-            description.service = "pool";
-            description.address = server.endpoint();
-            m_engine.servers().apply(description);
+            list(server, i, 1);
         }
     }
 
@@ -278,9 +277,35 @@
         return times.size() < 5 ? 0 : std::count_if(times.begin(), times.end(), [&](TimePoint at) { return at > times[4] + contactTime; });
     }
 
+    /** Makes the servers listen on through their crashes, and lists them with a new start after each. */
+    void setServersRestartAtOnce()
+    {
+        for (auto& server : m_servers)
+            server.setRestartsAtOnce();
+    }
+
+    void listRestartedServers()
+    {
+        int number = 0;
+        for (const auto& server : m_servers) {
+            list(server, number, 1 + static_cast<int64_t>(server.crashes().size()));
+            ++number;
+        }
+    }
+
     void setListener(PromptHealthListener* listener) { m_engine.setPromptHealthListener(listener); }
 
 private:
+    void list(const CrashingServer& server, int number, int64_t startedAt)
+    {
+        ServerDescription description;
+        description.id = "server" + std::to_string(number);
+        description.service = "pool";
+        description.address = server.endpoint();
+        description.startedAtMs = startedAt;
+        m_engine.servers().apply(description);
+    }
+
     static TrafficSettings settings()
     {
         TrafficSettings settings;
@@ -397,3 +422,17 @@
     for (const auto size : recorder.sizes)
         CHECK(size < 8 * 1024);
 }
+
+// Guards against a server that is back before the check connects to it and is taken for one that has not crashed.
+TEST_CASE("a part that crashes servers is quarantined if they listen again at once", "[quarantine]")
+{
+    CrashScene scene(0, false);
+    scene.setServersRestartAtOnce();
+    for (int i = 0; i < 20; ++i) {
+        scene.ask("1 2 666 " + std::to_string(1000 + i));
+        scene.listRestartedServers();
+        CHECK(scene.ask("1 2 " + std::to_string(2000 + i)).isComplete);
+    }
+    CHECK(scene.lateCrashes() <= 3);
+    CHECK(scene.ask("1 2 666 5000").failure == ErrorKind::PromptQuarantined);
+}
