Share the check of quarantined parts between two tests

Two test cases held the same loop, and the crash detector looked up one entry twice. Behaviour and assertions are the same.

--- a/modules/borageslip_traffic/quarantine/CrashDetector.cpp
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -107,10 +107,10 @@
     std::erase_if(m_unconfirmed, [&](const auto& entry) { return now - entry.second.at >= restartTime; });
     if (m_unconfirmed.size() >= maxUnconfirmed && !m_unconfirmed.contains(server.hash()))
         return;
-    auto& suspects = m_unconfirmed[server.hash()].suspects;
-    m_unconfirmed[server.hash()].at = now;
-    if (suspects.size() < maxSuspectsOfCrash)
-        std::move(ended.suspects.begin(), ended.suspects.end(), std::back_inserter(suspects));
+    auto& unconfirmed = m_unconfirmed[server.hash()];
+    unconfirmed.at = now;
+    if (unconfirmed.suspects.size() < maxSuspectsOfCrash)
+        std::move(ended.suspects.begin(), ended.suspects.end(), std::back_inserter(unconfirmed.suspects));
 }
 
 void CrashDetector::serverRestarted(const BackendServer& server)
--- a/tests/borageslip_traffic/CrashingServerTests.cpp
+++ b/tests/borageslip_traffic/CrashingServerTests.cpp
@@ -321,6 +321,18 @@
     int m_nextId = 0;
 };
 
+/** Asks with and without the crashing part by turns, and checks that the part is quarantined in time and sound requests are
+    served. */
+void checkPartIsQuarantined(CrashScene& scene)
+{
+    for (int i = 0; i < 20; ++i) {
+        scene.ask("1 2 666 " + std::to_string(1000 + i));
+        CHECK(scene.ask("1 2 " + std::to_string(2000 + i)).isComplete);
+    }
+    CHECK(scene.lateCrashes() <= 3);
+    CHECK(scene.ask("1 2 666 5000").failure == ErrorKind::PromptQuarantined);
+}
+
 }
 
 // Guards against a threshold for suspects that differs from the one that clears them: a crash between the two goes unseen.
@@ -330,12 +342,7 @@
         for (const int events : { 0, 1 }) {
             INFO("events before the crash " << events << ", resumable " << isResumable);
             CrashScene scene(events, isResumable);
-            for (int i = 0; i < 20; ++i) {
-                scene.ask("1 2 666 " + std::to_string(1000 + i));
-                CHECK(scene.ask("1 2 " + std::to_string(2000 + i)).isComplete);
-            }
-            CHECK(scene.lateCrashes() <= 3);
-            CHECK(scene.ask("1 2 666 5000").failure == ErrorKind::PromptQuarantined);
+            checkPartIsQuarantined(scene);
         }
     }
 }
@@ -347,12 +354,7 @@
         for (const int events : { 2, 3, CrashingServer::eventCount }) {
             INFO("events before the crash " << events << ", resumable " << isResumable);
             CrashScene scene(events, isResumable);
-            for (int i = 0; i < 20; ++i) {
-                scene.ask("1 2 666 " + std::to_string(1000 + i));
-                CHECK(scene.ask("1 2 " + std::to_string(2000 + i)).isComplete);
-            }
-            CHECK(scene.lateCrashes() <= 3);
-            CHECK(scene.ask("1 2 666 5000").failure == ErrorKind::PromptQuarantined);
+            checkPartIsQuarantined(scene);
         }
     }
 }
