--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -15,6 +15,7 @@
 #include "configuration/TrafficConfiguration.h"
 #include "engine/Exchange.h"
 #include "engine/ExchangeRecord.h"
+#include "engine/OpenRequest.h"
 #include "engine/ResponseSink.h"
 #include "engine/ResponseSource.h"
 #include "engine/SseEventBuffer.h"
--- a/modules/borageslip_traffic/caller/CallerListener.cpp
+++ b/modules/borageslip_traffic/caller/CallerListener.cpp
@@ -111,6 +111,17 @@
     return m_sessions.size();
 }
 
+std::vector<OpenRequest> CallerListener::openRequests()
+{
+    std::vector<OpenRequest> requests;
+    for (const auto& entry : m_sessions) {
+        const auto session = entry.lock();
+        if (auto request = session ? session->openRequest() : std::nullopt)
+            requests.push_back(std::move(*request));
+    }
+    return requests;
+}
+
 bool CallerListener::isIdle()
 {
     removeEndedSessions();
--- a/modules/borageslip_traffic/caller/CallerListener.h
+++ b/modules/borageslip_traffic/caller/CallerListener.h
@@ -29,6 +29,9 @@
 
     size_t sessionCount();
 
+    /** The requests that have no complete response yet. */
+    std::vector<OpenRequest> openRequests();
+
     /** Whether no session is serving a request. */
     bool isIdle();
 
--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -70,6 +70,15 @@
     m_received.notify();
 }
 
+std::optional<OpenRequest> CallerSession::openRequest() const
+{
+    if (m_exchange)
+        return m_exchange->openRequest();
+    if (!m_receivingSince)
+        return std::nullopt;
+    return OpenRequest { "", RequestPhase::Receiving, *m_receivingSince, *m_receivingSince, "" };
+}
+
 void CallerSession::handleDisconnect()
 {
     m_isDisconnected = true;
@@ -130,6 +139,7 @@
     }
     m_waitingSince.reset();
     const auto arrivedAt = m_engine.clock().now();
+    m_receivingSince = arrivedAt;
     const auto limits = m_engine.callerLimits();
     RequestReader reader(limits.maxHeaderBytes, limits.maxBodyBytes);
     m_isResponsePrepared = false;
@@ -138,6 +148,7 @@
     m_httpVersion = 11;
     m_isHeadRequest = false;
     const bool hasRequest = co_await receiveRequest(reader, arrivedAt);
+    m_receivingSince.reset();
     if (!hasRequest)
         co_return false;
     m_keepsConnection = reader.request().keep_alive();
--- a/modules/borageslip_traffic/caller/CallerSession.h
+++ b/modules/borageslip_traffic/caller/CallerSession.h
@@ -25,6 +25,9 @@
 
     bool isIdle() const { return !m_exchange; }
 
+    /** The request that is being received or served; absent while the session waits for one. */
+    std::optional<OpenRequest> openRequest() const;
+
     /** Closes the connection at once if it waits for a request. */
     void closeIfWaiting();
 
@@ -82,6 +85,7 @@
     bool m_isClosing = false;
     bool m_rejectsRequests = false;
     std::optional<TimePoint> m_waitingSince;
+    std::optional<TimePoint> m_receivingSince; ///< Present while a request is being received.
     bool m_hasServedRequest = false;
     bool m_keepsConnection = true;
 };
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -65,11 +65,24 @@
     , m_arrivedAt(arrivedAt)
     , m_deadline(arrivedAt)
     , m_deadlineTimer(engine.executor())
+    , m_phaseBegunAt(arrivedAt)
     , m_wakeEvent(engine.executor())
     , m_record(m_metadata.requestId, arrivedAt)
 {
 }
 
+OpenRequest Exchange::openRequest() const
+{
+    const auto phase = m_sink.hasBegun() ? RequestPhase::Responding : m_phase;
+    return { m_metadata.requestId, phase, m_arrivedAt, m_phaseBegunAt, m_activeServer ? m_activeServer->description().id : std::string() };
+}
+
+void Exchange::setPhase(RequestPhase phase)
+{
+    m_phase = phase;
+    m_phaseBegunAt = m_engine.clock().now();
+}
+
 milliseconds Exchange::timeLeft() const
 {
     return std::max(milliseconds(0), toMilliseconds(m_deadline - m_engine.clock().now()));
@@ -149,6 +162,7 @@
     m_engine.recordArrival(m_admitted);
     int unreachable = 0;
     while (m_stopReason == StopReason::None && m_sendCount < route().maxAttempts && unreachable < maxUnreachableServers && !isQuarantined()) {
+        setPhase(RequestPhase::Waiting);
         auto reservation = co_await awaitReservation();
         if (!isOk(reservation)) {
             m_lastError = error(reservation);
@@ -160,6 +174,7 @@
             ++m_engine.counts().retries;
         m_hasReservedRetry = false;
         const auto result = co_await attempt(value(std::move(reservation)));
+        m_activeServer = nullptr;
         if (result == AttemptResult::Delivered) {
             logOutcome(Severity::Info, "answered", "delivered", "");
             co_return;
@@ -452,6 +467,8 @@
     const auto server = reservation->server();
     m_record.recordSend(*server, m_engine, { m_choiceReason, m_admitted.affinity, reservation->pendingTokens() });
     m_triedServers.push_back(server->hash());
+    m_activeServer = server;
+    setPhase(RequestPhase::Connecting);
     AttemptState state { std::move(reservation), server, server->pool().takeIdle() };
     if (!state.connection) {
         auto connected = co_await ConnectionPool::connect(m_engine.executor(), server->pool().endpoint(), connectLimit);
@@ -510,6 +527,7 @@
 asio::awaitable<Exchange::AttemptResult> Exchange::send(AttemptState& state)
 {
     state.attempt.fire(AttemptEvent::Send);
+    setPhase(RequestPhase::AwaitingHead);
     state.sentAt = m_engine.clock().now();
     state.earlierEvents = m_events.eventCount();
     m_engine.servers().recordSend(*state.server);
@@ -581,6 +599,7 @@
         if (!hasHead)
             co_return handleLostConnection(state, "connection lost before a response was received");
         state.isResponseBegun = true;
+        setPhase(RequestPhase::AwaitingBody);
         const auto metadata = m_engine.protocol().responseMetadata(reader.head().result_int(), reader.head());
         applyServerNotices(state, metadata);
         if (!isResponseToThisRequest(state, metadata)) {
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ExchangeRecord.h"
+#include "OpenRequest.h"
 #include "ResponseSink.h"
 #include "ResponseSource.h"
 #include "SseEventBuffer.h"
@@ -37,6 +38,9 @@
         request that runs at most once, which is left to finish there. */
     void onCallerDisconnected();
 
+    /** How far the request has come. */
+    OpenRequest openRequest() const;
+
 private:
     /** Why the exchange ends before its response is complete. */
     enum class StopReason {
@@ -138,6 +142,7 @@
     AttemptResult handleMisdirected(AttemptState&);
     void startDeadline();
     void stop(StopReason);
+    void setPhase(RequestPhase);
     std::chrono::milliseconds timeLeft() const;
     const Route& route() const { return *m_admitted.route; }
 
@@ -150,6 +155,9 @@
     TimePoint m_deadline;
     boost::asio::steady_timer m_deadlineTimer;
     StopReason m_stopReason = StopReason::None;
+    RequestPhase m_phase = RequestPhase::Admission;
+    TimePoint m_phaseBegunAt;
+    BackendServerPtr m_activeServer; ///< Of the current attempt; null between attempts.
     ServerConnectionPtr m_activeConnection; ///< Connection of the current attempt; null between attempts.
     AutoResetEvent m_wakeEvent;
     std::vector<uint64_t> m_triedServers; ///< Hashes of the backend servers to which an attempt was made.
