--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -58,7 +58,7 @@
         self.process = None
 
     async def start(self):
-        with open(self.log_path, "wb") as log:
+        with open(self.log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(self.binary, "--settings", str(self.path), stdout=log, stderr=log)
 
     async def wait_until(self, condition, limit=20):
