Start only what a stopping instance finishes, and answer all before it ends

Cause: whether a request was taken depended on a timer of 500 ms that looked whether 3 s had passed, once, at its arrival; its time limit, the wait before its send and the time left were not asked. The end depended on the same timer: the process stopped its loop 7.6 to 8.1 s after the signal with sessions open. Class: a promise that lies in the phase of a timer. Evidence: stop_test.py; the cut streams were sent 3.00 to 3.35 s after SIGTERM, while the tick came at up to 3.5 s. Change: StopSchedule decides from the arrival of the signal (recorded in its handler), the time limit of the request and the time now, at the request's arrival, from the queue, before each attempt that may be a first one. What may not be finished is rejected at once as not run, with Retry-After. At eleven twelfths of the grace each open request gets its last answer; the backlog is accepted before the listener closes, and an incomplete request is rejected without a reset of its connection.

--- a/apps/borageslip-entry/Main.cpp
+++ b/apps/borageslip-entry/Main.cpp
@@ -39,10 +39,12 @@
     Keeps the signals that come before the event loop runs, and handles them once it does. */
 class SignalHandler {
 public:
-    SignalHandler(boost::asio::io_context& context, std::string settingsPath)
+    SignalHandler(boost::asio::io_context& context, const borageslip::Clock& clock, std::string settingsPath)
         : m_signals(context, SIGTERM, SIGINT, SIGHUP)
+        , m_clock(clock)
         , m_settingsPath(std::move(settingsPath))
     {
+        borageslip::recordSignalArrival(SIGTERM);
     }
 
     /** Begins to handle signals. The instance must outlive the event loop. */
@@ -61,7 +63,7 @@
             if (signal == SIGHUP)
                 checkSettings();
             else
-                m_instance->beginStop();
+                m_instance->beginStop(borageslip::signalArrival().value_or(m_clock.now()));
             awaitSignal();
         });
     }
@@ -76,6 +78,7 @@
     }
 
     boost::asio::signal_set m_signals;
+    const borageslip::Clock& m_clock;
     borageslip::platform::PlatformInstance* m_instance = nullptr;
     std::string m_settingsPath;
 };
@@ -104,10 +107,10 @@
         return Success;
 
     boost::asio::io_context context(1);
-    SignalHandler signals(context, settingsPath);
+    const borageslip::BootClock clock;
+    SignalHandler signals(context, clock, settingsPath);
     std::signal(SIGPIPE, SIG_IGN);
     borageslip::initialiseLog(borageslip::severityFromName(logLevel), "borageslip-entry/" + borageslip::value(settings).instanceName, { borageslip::LogOptions::Destination::StandardOutput, logLinesPerSecond });
-    const borageslip::BootClock clock;
     borageslip::platform::PlatformInstance instance(context, clock, borageslip::value(std::move(settings)));
     if (const auto started = instance.start(); !borageslip::isOk(started)) {
         borageslip::logEvent(borageslip::Severity::Error, "start-failed", { { "detail", borageslip::error(started).detail } });
--- a/modules/borageslip_core/borageslip_core.h
+++ b/modules/borageslip_core/borageslip_core.h
@@ -25,4 +25,5 @@
 #include "time/BootClock.h"
 #include "time/Clock.h"
 #include "time/ManualClock.h"
+#include "time/SignalArrival.h"
 #include "time/SystemClock.h"
--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -60,3 +60,4 @@
 #include "servers/BackendServer.h"
 #include "servers/ServerHealth.h"
 #include "servers/ServerTable.h"
+#include "stop/StopSchedule.h"
--- a/modules/borageslip_traffic/caller/CallerListener.cpp
+++ b/modules/borageslip_traffic/caller/CallerListener.cpp
@@ -114,9 +114,8 @@
 std::vector<OpenRequest> CallerListener::openRequests()
 {
     std::vector<OpenRequest> requests;
-    for (const auto& entry : m_sessions) {
-        const auto session = entry.lock();
-        if (auto request = session ? session->openRequest() : std::nullopt)
+    for (const auto& session : sessions()) {
+        if (auto request = session->openRequest())
             requests.push_back(std::move(*request));
     }
     return requests;
@@ -131,17 +130,57 @@
 void CallerListener::beginDrain()
 {
     m_isDraining = true;
-    removeEndedSessions();
-    for (const auto& session : m_sessions) {
-        if (const auto alive = session.lock())
-            alive->beginDrain();
-    }
+    for (const auto& session : sessions())
+        session->beginDrain();
 }
 
 void CallerListener::close()
 {
+    if (!m_acceptor.is_open())
+        return;
+    acceptBacklog();
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
 }
 
+void CallerListener::acceptBacklog()
+{
+    boost::system::error_code failure;
+    m_acceptor.non_blocking(true, failure);
+    for (int accepted = 0; !failure && accepted < listenBacklog; ++accepted) {
+        tcp::socket socket(m_engine.executor());
+        m_acceptor.accept(socket, failure);
+        if (!failure)
+            startSession(std::move(socket));
+    }
+}
+
+std::vector<std::shared_ptr<CallerSession>> CallerListener::sessions() const
+{
+    std::vector<std::shared_ptr<CallerSession>> alive;
+    for (const auto& entry : m_sessions) {
+        if (auto session = entry.lock())
+            alive.push_back(std::move(session));
+    }
+    return alive;
+}
+
+void CallerListener::closeUnused()
+{
+    for (const auto& session : sessions())
+        session->closeIfUnused();
+}
+
+void CallerListener::endForStop(StopScope scope)
+{
+    for (const auto& session : sessions())
+        session->endForStop(scope);
+}
+
+void CallerListener::abortUnfinished()
+{
+    for (const auto& session : sessions())
+        session->abortUnfinished();
+}
+
 }
--- a/modules/borageslip_traffic/caller/CallerListener.h
+++ b/modules/borageslip_traffic/caller/CallerListener.h
@@ -24,9 +24,18 @@
         know of the drain yet. */
     void beginDrain();
 
-    /** Stops accepting connections. */
+    /** Stops accepting connections, after those that wait in the backlog have been accepted. */
     void close();
 
+    /** Closes the connections on which no byte of a request has arrived. */
+    void closeUnused();
+
+    /** Ends requests because of a planned stop. */
+    void endForStop(StopScope);
+
+    /** To be called before the process ends: lets callers detect the responses that are incomplete. */
+    void abortUnfinished();
+
     size_t sessionCount();
 
     /** The requests that have no complete response yet. */
@@ -42,6 +51,8 @@
     /** Starts a session. At the limit, the session that has waited for a request for the longest time is closed in its
         favour; if none waits, the new one rejects its requests. */
     void startSession(boost::asio::ip::tcp::socket);
+    void acceptBacklog();
+    std::vector<std::shared_ptr<CallerSession>> sessions() const;
     bool closeLongestWaiting();
 
     TrafficEngine& m_engine;
--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -26,6 +26,8 @@
     // is still open then.
     constexpr Duration idleMargin = std::chrono::seconds(1);
 
+    constexpr Duration lingerTime = std::chrono::milliseconds(200); ///< For which bytes of a rejected request are discarded.
+
     std::string chunkHeader(size_t bytes)
     {
         std::array<char, 24> text {};
@@ -79,6 +81,31 @@
     return OpenRequest { "", RequestPhase::Receiving, *m_receivingSince, *m_receivingSince, "" };
 }
 
+void CallerSession::closeIfUnused()
+{
+    boost::system::error_code failure;
+    const bool hasBytes = !m_receiveBuffer.empty() || m_socket.available(failure) > 0;
+    if (!hasBytes)
+        closeIfWaiting();
+}
+
+void CallerSession::endForStop(StopScope scope)
+{
+    if (m_exchange)
+        return m_exchange->endForStop(scope);
+    if (scope != StopScope::All)
+        return;
+    m_isClosing = true;
+    m_received.notify();
+}
+
+void CallerSession::abortUnfinished()
+{
+    // Other framings show by themselves that the rest is missing.
+    if (m_exchange && m_hasBegun && m_framing == Framing::UntilClose)
+        resetSocket(m_socket);
+}
+
 void CallerSession::handleDisconnect()
 {
     m_isDisconnected = true;
@@ -178,19 +205,23 @@
         const bool isMemoryLeft = holdMemory();
         m_consumed.notify();
         if (!isOk(fed)) {
-            m_keepsConnection = false;
-            co_await sendError(error(fed));
+            co_await rejectIncomplete(error(fed));
             co_return false;
         }
         if (!isMemoryLeft) {
-            m_keepsConnection = false;
-            co_await sendError(overloadedError("the requests of all callers hold too much memory"));
+            co_await rejectIncomplete(overloadedError("the requests of all callers hold too much memory"));
             co_return false;
         }
         if (reader.isDone())
             co_return true;
         if (m_isDisconnected)
             co_return false;
+        if (m_isClosing) {
+            Error draining { ErrorKind::Draining, "this instance is shutting down" };
+            draining.retryAfter = m_engine.retryAfterStop(limits.headerTimeout);
+            co_await rejectIncomplete(draining);
+            co_return false;
+        }
         if (reader.hasHead() && reader.expectsContinue() && !hasSentContinue) {
             hasSentContinue = true;
             m_sendBuffer = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -201,14 +232,32 @@
         const auto left = reader.hasHead() ? Duration(limits.idleTimeout) : arrivedAt + limits.headerTimeout - m_engine.clock().now();
         const bool hasReceived = co_await m_received.waitFor(std::max(left, Duration::zero()));
         if (!hasReceived) {
-            m_keepsConnection = false;
             const Error late { ErrorKind::RequestTimeout, "the request was not received within the timeout" };
-            co_await sendError(late);
+            co_await rejectIncomplete(late);
             co_return false;
         }
     }
 }
 
+asio::awaitable<void> CallerSession::rejectIncomplete(const Error& error)
+{
+    m_keepsConnection = false;
+    co_await sendError(error);
+    // Closing a connection with unread bytes resets it, and the caller may lose the response.
+    boost::system::error_code ignored;
+    m_socket.shutdown(asio::socket_base::shutdown_send, ignored);
+    const auto until = m_engine.clock().now() + lingerTime;
+    while (!m_isDisconnected) {
+        m_receiveBuffer.clear();
+        holdMemory();
+        m_consumed.notify();
+        const auto left = until - m_engine.clock().now();
+        if (left <= Duration::zero())
+            break;
+        co_await m_received.waitFor(left);
+    }
+}
+
 Error CallerSession::overloadedError(std::string_view detail)
 {
     Error overloaded { ErrorKind::Overloaded, std::string(detail) };
--- a/modules/borageslip_traffic/caller/CallerSession.h
+++ b/modules/borageslip_traffic/caller/CallerSession.h
@@ -31,6 +31,15 @@
     /** Closes the connection at once if it waits for a request. */
     void closeIfWaiting();
 
+    /** Closes the connection at once if it waits for a request and no byte of one has arrived. */
+    void closeIfUnused();
+
+    /** Ends the request because of a planned stop. @param scope of All also rejects a request that is being received. */
+    void endForStop(StopScope scope);
+
+    /** Closes the connection in a way that lets the caller detect that the response is incomplete, if it is. */
+    void abortUnfinished();
+
     /** Rejects all requests, because the listener has too many sessions. */
     void rejectRequests() { m_rejectsRequests = true; }
 
@@ -59,6 +68,9 @@
     boost::asio::awaitable<bool> receiveRequest(RequestReader&, TimePoint arrivedAt);
     boost::asio::awaitable<bool> flush();
 
+    /** Rejects a request that is not complete, and closes the connection once the caller can have read the response. */
+    boost::asio::awaitable<void> rejectIncomplete(const Error&);
+
     /** States the bytes that the session holds. Returns whether the memory budget allows them. */
     bool holdMemory() { return m_memory.hold(m_receiveBuffer.size() + m_requestBytes); }
     Error overloadedError(std::string_view detail);
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -63,6 +63,7 @@
     , m_request(std::move(request))
     , m_metadata(engine.protocol().requestMetadata(m_request))
     , m_arrivedAt(arrivedAt)
+    , m_receivedAt(engine.clock().now())
     , m_deadline(arrivedAt)
     , m_deadlineTimer(engine.executor())
     , m_phaseBegunAt(arrivedAt)
@@ -157,11 +158,18 @@
     stop(StopReason::CallerDisconnected);
 }
 
+void Exchange::endForStop(StopScope scope)
+{
+    const bool isUnstarted = !m_mayHaveRun && !m_activeConnection && !m_sink.hasBegun();
+    if (scope == StopScope::All || (isUnstarted && !m_engine.mayStart(m_receivedAt, m_deadline)))
+        stop(StopReason::InstanceStopped);
+}
+
 asio::awaitable<void> Exchange::serve()
 {
     m_engine.recordArrival(m_admitted);
     int unreachable = 0;
-    while (m_stopReason == StopReason::None && m_sendCount < route().maxAttempts && unreachable < maxUnreachableServers && !isQuarantined()) {
+    while (m_stopReason == StopReason::None && m_sendCount < route().maxAttempts && unreachable < maxUnreachableServers && !isQuarantined() && !isTooLateToStart()) {
         setPhase(RequestPhase::Waiting);
         auto reservation = co_await awaitReservation();
         if (!isOk(reservation)) {
@@ -208,6 +216,14 @@
     return true;
 }
 
+bool Exchange::isTooLateToStart()
+{
+    if (m_mayHaveRun || m_engine.mayStart(m_receivedAt, m_deadline))
+        return false;
+    m_lastError = { ErrorKind::Draining, "this instance is shutting down" };
+    return true;
+}
+
 asio::awaitable<void> Exchange::checkForCrash(const AttemptState& state)
 {
     if (!state.isConnectionLost)
@@ -487,7 +503,7 @@
         co_return AttemptResult::NotSent;
     }
     // The request may have waited since the last check.
-    if (isQuarantined())
+    if (isQuarantined() || isTooLateToStart())
         co_return AttemptResult::NotSent;
     m_activeConnection = state.connection;
     const auto result = co_await send(state);
@@ -815,6 +831,8 @@
     }
     if (m_stopReason == StopReason::DeadlinePassed)
         failure = { m_mayHaveRun ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineBeforeStart, "the deadline passed" };
+    if (m_stopReason == StopReason::InstanceStopped)
+        failure = { m_mayHaveRun ? ErrorKind::ServiceFailed : ErrorKind::Draining, "this instance is shutting down" };
     if (m_sink.hasBegun()) {
         countOutcome(&TrafficCounts::failed);
         logOutcome(Severity::Warning, "broken-off", errorTraits(failure.kind).name, failure.detail);
@@ -825,7 +843,9 @@
         failure = { ErrorKind::ServiceFailed, failure.detail };
     BORAGESLIP_INVARIANT(!m_mayHaveRun || failure.mayHaveRun(), "I3", "a request that may have run was reported as not run");
     countOutcome(failure.mayHaveRun() ? &TrafficCounts::failed : &TrafficCounts::refused);
-    if (!failure.mayHaveRun() && failure.isRetryable())
+    if (failure.kind == ErrorKind::Draining)
+        failure.retryAfter = m_engine.retryAfterStop(timeLeft());
+    else if (!failure.mayHaveRun() && failure.isRetryable())
         failure.retryAfter = m_engine.retryAfter(m_admitted.route != nullptr ? timeLeft() : m_metadata.timeLeft.value_or(milliseconds(0)), m_expectedWait);
     logOutcome(Severity::Warning, "refused", errorTraits(failure.kind).name, failure.detail);
     co_await m_sink.sendError(failure);
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -38,6 +38,9 @@
         request that runs at most once, which is left to finish there. */
     void onCallerDisconnected();
 
+    /** Ends the request because of a planned stop: with an answer, unless the caller has got a part of the response. */
+    void endForStop(StopScope);
+
     /** How far the request has come. */
     OpenRequest openRequest() const;
 
@@ -47,6 +50,7 @@
         None,
         CallerDisconnected,
         DeadlinePassed,
+        InstanceStopped,
     };
 
     /** How one attempt to send the request ended. */
@@ -134,6 +138,10 @@
     /** Rejects a request whose prompt has quarantined parts: sets the error and returns true. */
     bool isQuarantined();
 
+    /** Rejects a request that has not run and would not be finished before the end of a planned stop: sets the error and
+        returns true. */
+    bool isTooLateToStart();
+
     /** Reports the request as a suspect if the server has crashed before its response was complete. */
     boost::asio::awaitable<void> checkForCrash(const AttemptState&);
     void recordProgress(AttemptState&);
@@ -152,6 +160,7 @@
     RequestMetadata m_metadata;
     AdmittedRequest m_admitted;
     TimePoint m_arrivedAt;
+    TimePoint m_receivedAt; ///< When the request was complete.
     TimePoint m_deadline;
     boost::asio::steady_timer m_deadlineTimer;
     StopReason m_stopReason = StopReason::None;
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -138,8 +138,6 @@
 
 Result<AdmittedRequest> TrafficEngine::admit(const HttpRequest& request, const RequestMetadata& metadata) const
 {
-    if (m_refusesNewRequests)
-        return Error { ErrorKind::Draining, "this instance is shutting down" };
     if (!m_configuration)
         return Error { ErrorKind::NoConfiguration, "this instance has not received a configuration yet" };
     const auto host = request[boost::beast::http::field::host];
@@ -323,4 +321,14 @@
     return jitteredRetryAfter(timeLeft, m_random, expectedWait);
 }
 
+std::chrono::milliseconds TrafficEngine::retryAfterStop(std::chrono::milliseconds timeLeft)
+{
+    using std::chrono::milliseconds;
+    constexpr milliseconds maxRedirectDelay { 50 }; ///< Spreads the callers of one instance over the time of a few requests.
+    if (m_othersAcceptCallers || !m_stop)
+        return std::min(timeLeft, milliseconds(std::uniform_int_distribution<int64_t>(0, maxRedirectDelay.count())(m_random)));
+    const auto left = std::chrono::duration_cast<milliseconds>(m_stop->endAt() - m_clock.now());
+    return retryAfter(timeLeft, std::max(left, maxRedirectDelay));
+}
+
 }
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -14,6 +14,7 @@
 #include "../quarantine/CrashDetector.h"
 #include "../quarantine/PromptQuarantine.h"
 #include "../servers/ServerTable.h"
+#include "../stop/StopSchedule.h"
 
 #include <borageslip_core/errors/Result.h>
 
@@ -68,8 +69,15 @@
     /** Activates a configuration. It is ignored unless its version is higher than that of the active one. */
     void setConfiguration(TrafficConfigurationPtr);
 
-    /** Rejects all further requests with Draining, because this instance is shutting down. */
-    void refuseNewRequests() { m_refusesNewRequests = true; }
+    /** Begins a planned stop, from which on only requests that will be finished are started. */
+    void beginStop(const StopSchedule& schedule) { m_stop = schedule; }
+
+    /** Whether a request may be sent to a backend server for the first time. @param receivedAt when it was complete.
+        @see StopSchedule */
+    bool mayStart(TimePoint receivedAt, TimePoint deadline) const { return !m_stop || m_stop->mayStart(receivedAt, deadline, m_clock.now()); }
+
+    /** Sets whether other instances take the requests that this one rejects during a planned stop. */
+    void setOthersAcceptCallers(bool others) { m_othersAcceptCallers = others; }
 
     /** Records that the active configuration was the newest one in the store at the given time. */
     void confirmConfiguration(TimePoint at);
@@ -115,7 +123,7 @@
     bool canAcceptKeys() const;
 
     /** Finds the route and the client account of a request.
-        Errors: Draining, NoConfiguration, NotFound, StoreUnavailable, Unauthenticated. */
+        Errors: NoConfiguration, NotFound, StoreUnavailable, Unauthenticated. */
     Result<AdmittedRequest> admit(const HttpRequest&, const RequestMetadata&) const;
 
     struct ChosenServer {
@@ -176,6 +184,10 @@
         @param expectedWait time until there is capacity; zero when not known. */
     std::chrono::milliseconds retryAfter(std::chrono::milliseconds timeLeft, std::chrono::milliseconds expectedWait);
 
+    /** Retry delay for a caller rejected because of a planned stop: short if another instance takes the request, until the
+        end of the stop otherwise. */
+    std::chrono::milliseconds retryAfterStop(std::chrono::milliseconds timeLeft);
+
     ServerTable& servers() { return m_servers; }
     PromptQuarantine& quarantine() { return m_quarantine; }
     CrashDetector& crashDetector() { return m_crashDetector; }
@@ -226,7 +238,8 @@
     TimePoint m_confirmedAt {};
     std::set<AutoResetEvent*> m_confirmationWaiters;
     TimePoint m_loadTimestamp {};
-    bool m_refusesNewRequests = false;
+    std::optional<StopSchedule> m_stop;
+    bool m_othersAcceptCallers = true;
     MemoryBudget m_memory;
     ServerTable m_servers;
     PromptQuarantine m_quarantine;
