--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -29,12 +29,18 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for entry in sockets:
-        entry.bind(("127.0.0.1", 0))
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
+    """Ports below the range from which outgoing connections get theirs, so that a process can listen again after a restart."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(20000, 32000)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as entry:
+                    entry.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
