--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -46,6 +46,8 @@
         self.rejection_mode = None
         self.calls = {}
         self.oldest_revision = 0
+        self.lost_puts = 0  # For so many writes under a lease: no answer, carried out `late_by` seconds later.
+        self.late_by = 2.0
         self.changed = asyncio.Event()
 
     def put(self, key, value, lease=0):
@@ -109,13 +111,22 @@
             self._end_lease(int(url.path.split("/")[3]))
             return response(200, b"{}")
         if call == "kv-txn":
-            for row in json.loads(body)["puts"]:
-                if row["lease"] and row["lease"] not in self.leases:
-                    return response(404)
-                self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
-            return response(200, json.dumps({"revision": self.revision}).encode())
+            rows = json.loads(body)["puts"]
+            if self.lost_puts > 0 and any(row["lease"] for row in rows):
+                self.lost_puts -= 1
+                asyncio.get_running_loop().call_later(self.late_by, self._write, rows)
+                return None
+            return self._write(rows)
         return response(404)
 
+    def _write(self, rows):
+        self._expire()
+        for row in rows:
+            if row["lease"] and row["lease"] not in self.leases:
+                return response(404)
+            self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
+        return response(200, json.dumps({"revision": self.revision}).encode())
+
     async def _watch(self, query):
         after = int(query["after"])
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
@@ -154,7 +165,11 @@
                 while self.is_down:
                     await asyncio.sleep(0.05)
                 break
-            writer.write(await self.answer(message[0], message[2]))
+            answer = await self.answer(message[0], message[2])
+            if answer is None:  # A connection on which an answer is lost returns nothing further.
+                await reader.read()
+                break
+            writer.write(answer)
             await writer.drain()
         writer.close()
 
