Keep what a response says of a server that was listed again meanwhile

Cause: a server that is removed and listed again gets a new object. A response to a request from before wrote its notice (leaving, pause, rate limit) into the old one only, so the instance went on sending to a server that had said that it leaves. Change: the table passes the notice on to the present or the next listing of the same incarnation.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -570,6 +570,7 @@
         logEvent(Severity::Info, "server-paused", { { "server", server.description().id }, { "retry_after_ms", metadata.retryAfter->count() } });
         server.allowance().pauseUntil(m_engine.clock().now() + *metadata.retryAfter);
     }
+    m_engine.servers().shareNotices(state.server);
 }
 
 void Exchange::applyRateLimit(const AttemptState& state, const ResponseMetadata& metadata)
@@ -590,6 +591,7 @@
     }
     if (!hasChanged)
         return;
+    m_engine.servers().shareNotices(state.server);
     logEvent(Severity::Info, "server-rate-limit", { { "server", server.description().id }, { "per_second", server.allowance().rateLimitNotice().perSecond } });
     if (auto* broker = m_engine.reservationBroker())
         broker->notifyRateLimit(server);
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -62,15 +62,30 @@
     logEvent(Severity::Info, "server-removed", { { "server", id } });
     m_removalTimes.erase(std::string(id));
     server->remove();
-    const auto now = m_clock.now();
-    if (server->allowance().isLeaving() || server->allowance().isPaused(now) || server->allowance().rateLimit(now))
-        m_removed.insert_or_assign(server->description().id, RemovedServer { server, now });
+    rememberRemoved(server);
     m_health[server->description().service].remove(server->hash());
     m_byHash.erase(server->hash());
     std::erase(m_byService[server->description().service], server);
     m_servers.erase(found);
 }
 
+void ServerTable::rememberRemoved(const BackendServerPtr& server)
+{
+    const auto now = m_clock.now();
+    if (server->allowance().isLeaving() || server->allowance().isPaused(now) || server->allowance().rateLimit(now))
+        m_removed.insert_or_assign(server->description().id, RemovedServer { server, now });
+}
+
+void ServerTable::shareNotices(const BackendServerPtr& server)
+{
+    if (!server->isRemoved())
+        return;
+    if (const auto listed = m_servers.find(server->description().id); listed != m_servers.end())
+        listed->second->inherit(*server);
+    else
+        rememberRemoved(server);
+}
+
 void ServerTable::scheduleRemoval(std::string_view id)
 {
     if (m_servers.find(id) != m_servers.end())
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -42,6 +42,10 @@
     /** Finds a server by the hash of its id; null when it is not listed. */
     BackendServerPtr find(uint64_t hash) const;
 
+    /** To be called when a response of a server has said which requests it accepts. A server that was removed and listed
+        again while it responded is known under two objects; its new listing takes the notice over, also a later one. */
+    void shareNotices(const BackendServerPtr&);
+
     /** Record a send to a server and its outcome, for the server's health and for reports to other instances. */
     void recordSend(const BackendServer&);
     void recordAnswer(BackendServer&, TimePoint sentAt);
@@ -61,6 +65,7 @@
     };
 
     void add(ServerDescription);
+    void rememberRemoved(const BackendServerPtr&);
     void removeExpired();
     void forgetRemoved();
     void evaluateHealth();
