--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -28,20 +28,24 @@
         failures.append(name)
 
 
+PORTS_OF_A_TEST = 300
+# Below the range from which outgoing connections get theirs, so that a process can listen again after a restart, and apart
+# from those of other tests that run at the same time.
+test_ports = iter(range(20000 + os.getpid() % 40 * PORTS_OF_A_TEST, 20000 + (os.getpid() % 40 + 1) * PORTS_OF_A_TEST))
+
+
+def is_free(port):
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as entry:
+                entry.bind(("127.0.0.1", port))
+    except OSError:
+        return False
+    return True
+
+
 def free_ports(count):
-    """Ports below the range from which outgoing connections get theirs, so that a process can listen again after a restart."""
-    ports = []
-    while len(ports) < count:
-        port = random.SystemRandom().randrange(20000, 32000)
-        try:
-            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                with socket.socket(socket.AF_INET, kind) as entry:
-                    entry.bind(("127.0.0.1", port))
-        except OSError:
-            continue
-        if port not in ports:
-            ports.append(port)
-    return ports
+    return list(itertools.islice((port for port in test_ports if is_free(port)), count))
 
 
 class Answer:
