Judge the starts of a soak by the life of their process

Change: a start counts unless its process was stopped meanwhile, and a failed one names its life, exit code and log.

--- a/tests/platform/stop_soak.py
+++ b/tests/platform/stop_soak.py
@@ -47,11 +47,23 @@
         self.codes = []  # Exit codes that are no planned end.
         self.was_ready = False  # In this life, at the first SIGTERM.
         self.is_up = False
+        self.failed_starts = []
 
     async def start(self):
         await self.entry.start()
-        self.is_up = await self.entry.wait_until(self.entry.is_ready, 15)
-        return self.is_up or self.is_stopping()
+        life = self.life
+        started_at = time.monotonic()
+        is_up = await self.entry.wait_until(self._is_ready_or_over(life), 15)
+        if life == self.life and not self.is_stopping():
+            self.is_up = is_up
+            if not is_up:
+                self.failed_starts.append(f"{self.name} in life {life}, {time.monotonic() - started_at:.1f} s, exit code {self.entry.process.returncode}: {self.entry.log_path.read_text()[-800:]}")
+
+    def _is_ready_or_over(self, life):
+        """A process that is stopped before it is ready need not become ready."""
+        async def condition():
+            return life != self.life or life in self.stopped_at or await self.entry.is_ready()
+        return condition
 
     def is_stopping(self):
         return self.life in self.stopped_at
@@ -81,7 +93,7 @@
         await asyncio.sleep(RESTART_S)
         self.life += 1
         self.unused, self.kept = [], []
-        return await self.start()
+        await self.start()
 
     async def connection(self, source):
         """A kept connection, one that is open and unused, or a new one."""
@@ -127,8 +139,8 @@
             self.store.put_json(f"servers/{server.identity}", server.entry("pool"))
         self.store.put_json("op/config", stop_configuration())
         self.instances = [Instance(self.binary, self.folder, address, number) for number in range(INSTANCES)]
-        are_ready = await asyncio.gather(*(instance.start() for instance in self.instances))
-        check("all instances become ready", all(are_ready), [(instance.entry.process.returncode, instance.entry.log_path.read_text()[-600:]) for instance, is_ready in zip(self.instances, are_ready) if not is_ready])
+        await asyncio.gather(*(instance.start() for instance in self.instances))
+        self.check_starts("all instances become ready")
 
     async def ask(self, instance):
         is_stream = self.source.random() < 0.6
@@ -187,7 +199,12 @@
         results = await asyncio.gather(*self.stopping, return_exceptions=True)
         await asyncio.sleep(LONGEST_STREAM_S + 1)
         check("the soak's own tasks ran to the end", not ended, [task.exception() for task in ended])
-        check("each process starts again and becomes ready", all(result is True for result in results), [result for result in results if result is not True])
+        check("the stops ran to their ends", not any(results), [result for result in results if result])
+        self.check_starts("each process that is not stopped meanwhile becomes ready")
+
+    def check_starts(self, name):
+        failed = [start for instance in self.instances for start in instance.failed_starts]
+        check(name, not failed, failed)
 
     def judge(self):
         runs = collections.Counter(run[1].get("x-request-id") for server in self.servers for run in server.runs)
