Keep what a later listing of a server has said when an earlier one is heard late

Change: the earlier notices are merged, an older incarnation replaces nothing. Evidence: ServerNoticesTests, "after a late notice of an earlier listing"; 7 cases of [notices] and [stop] hold after it. A run of that test on the code before was not made.

--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -72,8 +72,15 @@
 void ServerTable::rememberRemoved(const BackendServerPtr& server)
 {
     const auto now = m_clock.now();
+    const auto& id = server->description().id;
+    if (const auto earlier = m_removed.find(id); earlier != m_removed.end()) {
+        const bool isOlderIncarnation = server->description().startedAtMs < earlier->second.server->description().startedAtMs;
+        if (isOlderIncarnation)
+            return;
+        server->inherit(*earlier->second.server);
+    }
     if (server->allowance().isLeaving() || server->allowance().isPaused(now) || server->allowance().rateLimit(now))
-        m_removed.insert_or_assign(server->description().id, RemovedServer { server, now });
+        m_removed.insert_or_assign(id, RemovedServer { server, now });
 }
 
 void ServerTable::shareNotices(const BackendServerPtr& server)
--- a/tests/borageslip_traffic/ServerNoticesTests.cpp
+++ b/tests/borageslip_traffic/ServerNoticesTests.cpp
@@ -64,6 +64,23 @@
     CHECK(scene.listed()->isInService());
 }
 
+// Guards against a late notice of an earlier listing that replaces what a later one has said.
+TEST_CASE("a server that says it is leaving gets no requests after a late notice of an earlier listing", "[notices]")
+{
+    NoticesScene scene;
+    const auto earlier = scene.listed();
+    scene.table().remove(serverId);
+    SECTION("of the same incarnation") { scene.list(1000); }
+    SECTION("of an earlier incarnation") { scene.list(2000); }
+    const auto later = scene.listed();
+    later->setLeaving();
+    scene.table().remove(serverId);
+    earlier->allowance().pauseUntil(scene.now() + 2s);
+    scene.table().shareNotices(earlier);
+    scene.list(later->description().startedAtMs);
+    CHECK_FALSE(scene.listed()->isInService());
+}
+
 TEST_CASE("a pause and a rate limit hold, if the server was listed again while it responded", "[notices]")
 {
     NoticesScene scene;
