--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -95,6 +95,8 @@
         return m_exchange->endForStop(scope);
     if (scope != StopScope::All)
         return;
+    if (!m_receivingSince)
+        return closeIfUnused();
     m_isClosing = true;
     m_received.notify();
 }
@@ -216,7 +218,8 @@
             co_return true;
         if (m_isDisconnected)
             co_return false;
-        if (m_isClosing) {
+        const bool isEndedByStop = m_isDraining && m_isClosing;
+        if (isEndedByStop) {
             Error draining { ErrorKind::Draining, "this instance is shutting down" };
             draining.retryAfter = m_engine.retryAfterStop(limits.headerTimeout);
             co_await rejectIncomplete(draining);
