Compute Retry-After of a stop from the caller's time while a request is being admitted

Cause: before its admission a request has no deadline, so Retry-After was 0 also where no other instance accepts callers.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -845,10 +845,11 @@
         failure = { ErrorKind::ServiceFailed, failure.detail };
     BORAGESLIP_INVARIANT(!m_mayHaveRun || failure.mayHaveRun(), "I3", "a request that may have run was reported as not run");
     countOutcome(failure.mayHaveRun() ? &TrafficCounts::failed : &TrafficCounts::refused);
+    const auto callerWaits = m_admitted.route != nullptr ? timeLeft() : m_metadata.timeLeft.value_or(milliseconds(0));
     if (failure.kind == ErrorKind::Draining)
-        failure.retryAfter = m_engine.retryAfterStop(timeLeft());
+        failure.retryAfter = m_engine.retryAfterStop(callerWaits);
     else if (!failure.mayHaveRun() && failure.isRetryable())
-        failure.retryAfter = m_engine.retryAfter(m_admitted.route != nullptr ? timeLeft() : m_metadata.timeLeft.value_or(milliseconds(0)), m_expectedWait);
+        failure.retryAfter = m_engine.retryAfter(callerWaits, m_expectedWait);
     logOutcome(Severity::Warning, "refused", errorTraits(failure.kind).name, failure.detail);
     co_await m_sink.sendError(failure);
 }
