--- a/tests/borageslip_traffic/StopScheduleTests.cpp
+++ b/tests/borageslip_traffic/StopScheduleTests.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr Duration grace = 8s;
-const TimePoint begunAt { 100s };
-const StopSchedule schedule(begunAt, grace);
+const TimePoint s_begunAt { 100s };
+const StopSchedule s_schedule(s_begunAt, grace);
 
 }
 
@@ -18,29 +18,29 @@
 TEST_CASE("a request that arrives during a stop is started only if its deadline passes before the last answers", "[stop]")
 {
     for (const auto arrivedAfter : { 0ms, 1ms, 500ms, 2999ms, 3000ms, 3500ms, 6900ms }) {
-        const auto arrivedAt = begunAt + arrivedAfter;
-        CHECK(schedule.mayStart(arrivedAt, schedule.answerAt(), arrivedAt));
-        CHECK_FALSE(schedule.mayStart(arrivedAt, schedule.answerAt() + 1ms, arrivedAt));
+        const auto arrivedAt = s_begunAt + arrivedAfter;
+        CHECK(s_schedule.mayStart(arrivedAt, s_schedule.answerAt(), arrivedAt));
+        CHECK_FALSE(s_schedule.mayStart(arrivedAt, s_schedule.answerAt() + 1ms, arrivedAt));
     }
 }
 
 TEST_CASE("a request that was received before a stop is started in the first third of the grace period only", "[stop]")
 {
-    const auto receivedAt = begunAt - 1ms;
+    const auto receivedAt = s_begunAt - 1ms;
     const auto deadline = receivedAt + 15s;
-    CHECK(schedule.mayStart(receivedAt, deadline, begunAt));
-    CHECK(schedule.mayStart(receivedAt, deadline, begunAt + grace / 3 - 1ms));
-    CHECK_FALSE(schedule.mayStart(receivedAt, deadline, begunAt + grace / 3));
-    CHECK(schedule.mayStart(receivedAt, begunAt + 5s, begunAt + 4s));
+    CHECK(s_schedule.mayStart(receivedAt, deadline, s_begunAt));
+    CHECK(s_schedule.mayStart(receivedAt, deadline, s_begunAt + grace / 3 - 1ms));
+    CHECK_FALSE(s_schedule.mayStart(receivedAt, deadline, s_begunAt + grace / 3));
+    CHECK(s_schedule.mayStart(receivedAt, s_begunAt + 5s, s_begunAt + 4s));
 }
 
 TEST_CASE("the last answers of a stop fall into the last sixth of the grace period, and leave time for the end", "[stop]")
 {
     for (const Duration each : { Duration(1s), Duration(3s), Duration(8s), Duration(30s) }) {
-        const StopSchedule stop(begunAt, each);
-        CHECK(stop.answerAt() > begunAt + each * 5 / 6);
+        const StopSchedule stop(s_begunAt, each);
+        CHECK(stop.answerAt() > s_begunAt + each * 5 / 6);
         CHECK(stop.endAt() > stop.answerAt());
-        CHECK(stop.endAt() < begunAt + each - each / 24);
+        CHECK(stop.endAt() < s_begunAt + each - each / 24);
     }
 }
 
