Share the entry point of the tests of borageslip-entry

Cause: entry_test, member_test and stop_test had the same main(). Change: run_checks in entry_test serves them; no check changes.

--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -772,8 +772,9 @@
                 print(entry.log_path.read_text()[-6000:])
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
+def run_checks(description, run):
+    """Runs the checks of a test program against borageslip-entry. Returns its exit code."""
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--bin", required=True, help="directory that contains the programs")
     arguments = parser.parse_args()
     asyncio.run(run(str(pathlib.Path(arguments.bin) / "borageslip-entry")))
@@ -782,4 +783,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks(__doc__, run))
--- a/tests/platform/member_test.py
+++ b/tests/platform/member_test.py
@@ -3,7 +3,6 @@
 
 Real processes and the real clock. Prints one line for each check and ends with the number of failed checks.
 """
-import argparse
 import asyncio
 import pathlib
 import signal
@@ -12,7 +11,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, failures  # noqa: E402
+from entry_test import Entry, check, run_checks  # noqa: E402
 from platform_standin import Store, configuration, start_server  # noqa: E402
 
 LEASE_S = 6  # Of a member record.
@@ -82,14 +81,5 @@
         await asyncio.gather(*(asyncio.wait_for(case(binary, folder), 60) for case in (check_late_write_at_start, check_late_write_of_an_earlier_process)))
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--bin", required=True, help="directory that contains the programs")
-    arguments = parser.parse_args()
-    asyncio.run(run(str(pathlib.Path(arguments.bin) / "borageslip-entry")))
-    print(f"{len(failures)} failed")
-    return 1 if failures else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks(__doc__, run))
--- a/tests/platform/stop_test.py
+++ b/tests/platform/stop_test.py
@@ -3,7 +3,6 @@
 
 Real processes and the real clock. Prints one line for each check and ends with the number of failed checks.
 """
-import argparse
 import asyncio
 import collections
 import json
@@ -15,7 +14,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 import entry_test  # noqa: E402
-from entry_test import Entry, check, failures, request  # noqa: E402
+from entry_test import Entry, check, request, run_checks  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 GRACE_S = 8
@@ -299,14 +298,5 @@
     await close_callers()
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--bin", required=True, help="directory that contains the programs")
-    arguments = parser.parse_args()
-    asyncio.run(run(str(pathlib.Path(arguments.bin) / "borageslip-entry")))
-    print(f"{len(failures)} failed")
-    return 1 if failures else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks(__doc__, run))
