Move the decisions on requests into borageslip_scheduling

Cause: decisions and I/O stood side by side in borageslip_traffic, so nothing kept a decision from reaching for a socket or the event loop. No change of behaviour. Not moved, since they use the event loop, sockets or JSON: WaitQueue, ReservationWaitList, ReservationBroker, SlotTicket, CrashDetector, PromptQuarantine.

--- a/modules/borageslip_experiment/model/CallerRequest.h
+++ b/modules/borageslip_experiment/model/CallerRequest.h
@@ -2,7 +2,7 @@
 
 #include "../pattern/LoadPattern.h"
 
-#include <borageslip_traffic/limits/RequestQueue.h>
+#include <borageslip_scheduling/limits/RequestQueue.h>
 
 #include <cstdint>
 #include <vector>
--- a/modules/borageslip_experiment/model/InstanceModel.h
+++ b/modules/borageslip_experiment/model/InstanceModel.h
@@ -3,11 +3,11 @@
 #include "CallerRequest.h"
 #include "PlacementStrategy.h"
 
-#include <borageslip_traffic/limits/FleetRetryBudget.h>
-#include <borageslip_traffic/limits/PriorityReserve.h>
-#include <borageslip_traffic/limits/RequestQueue.h>
-#include <borageslip_traffic/placement/RecentPrefixes.h>
-#include <borageslip_traffic/servers/ServerHealth.h>
+#include <borageslip_scheduling/limits/FleetRetryBudget.h>
+#include <borageslip_scheduling/limits/PriorityReserve.h>
+#include <borageslip_scheduling/limits/RequestQueue.h>
+#include <borageslip_scheduling/placement/RecentPrefixes.h>
+#include <borageslip_scheduling/servers/ServerHealth.h>
 
 namespace borageslip {
 
--- a/modules/borageslip_experiment/model/PlacementStrategy.h
+++ b/modules/borageslip_experiment/model/PlacementStrategy.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <borageslip_core/errors/Result.h>
-#include <borageslip_traffic/placement/ServerChoice.h>
+#include <borageslip_scheduling/placement/ServerChoice.h>
 
 #include <string_view>
 
--- a/modules/borageslip_experiment/run/PolicyExperiment.cpp
+++ b/modules/borageslip_experiment/run/PolicyExperiment.cpp
@@ -1,7 +1,7 @@
 #include "PolicyExperiment.h"
 
 #include <borageslip_core/identity/Hash.h>
-#include <borageslip_traffic/limits/RetryAfter.h>
+#include <borageslip_scheduling/limits/RetryAfter.h>
 
 #include <algorithm>
 #include <cmath>
--- a/modules/borageslip_traffic/limits/RequestQueue.h
+++ b/modules/borageslip_scheduling/limits/RequestQueue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../peers/ServiceMessages.h"
+#include "RequestPriority.h"
 
 #include <borageslip_routing/limits/FairQueue.h>
 
--- a/modules/borageslip_traffic/limits/ServiceQueue.cpp
+++ b/modules/borageslip_scheduling/limits/ServiceQueue.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace borageslip {
 
--- a/modules/borageslip_traffic/limits/ServiceQueue.h
+++ b/modules/borageslip_scheduling/limits/ServiceQueue.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "../peers/ServiceMessages.h"
-
 #include "RequestRate.h"
+#include "ServiceState.h"
 
 #include <borageslip_core/time/Clock.h>
 
--- a/modules/borageslip_traffic/peers/ReservationCoordinator.h
+++ b/modules/borageslip_scheduling/placement/ReservationCoordinator.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ReservationMessages.h"
+#include "ServerUsage.h"
 
 #include <optional>
 #include <span>
--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -4,8 +4,8 @@
     The traffic path, which runs on one event loop: connections of callers, the request engine, backend servers and the
     exchange of load reports between instances.
 
-    Depends on borageslip_core, borageslip_request (the attempt state chart) and borageslip_routing (fair queue, server
-    health, bounded tables). System libraries: Boost.Asio, Boost.Beast, nlohmann_json, prometheus-cpp (core).
+    Depends on borageslip_core, borageslip_request (the attempt state chart), borageslip_routing (bounded tables) and
+    borageslip_scheduling (decisions on requests). System libraries: Boost.Asio, Boost.Beast, nlohmann_json, prometheus-cpp (core).
 */
 
 #include "caller/CallerListener.h"
@@ -21,13 +21,7 @@
 #include "engine/SseEventBuffer.h"
 #include "engine/TrafficEngine.h"
 #include "http/HttpMessages.h"
-#include "limits/FleetRetryBudget.h"
-#include "limits/MemoryBudget.h"
-#include "limits/PriorityReserve.h"
-#include "limits/RequestQueue.h"
 #include "limits/ReservationWaitList.h"
-#include "limits/RetryAfter.h"
-#include "limits/ServiceQueue.h"
 #include "limits/WaitQueue.h"
 #include "metrics/DurationHistogram.h"
 #include "metrics/TrafficCounts.h"
@@ -43,14 +37,11 @@
 #include "peers/PeerReport.h"
 #include "peers/PeerReportTable.h"
 #include "peers/QuarantineMessages.h"
-#include "peers/ReservationCoordinator.h"
 #include "peers/ReservationMessages.h"
 #include "peers/ServiceCoordination.h"
 #include "peers/ServiceMessages.h"
 #include "peers/StoreReaders.h"
-#include "placement/RecentPrefixes.h"
 #include "placement/ReservationBroker.h"
-#include "placement/ServerChoice.h"
 #include "placement/SlotTicket.h"
 #include "protocol/CallerProtocol.h"
 #include "quarantine/CrashDetector.h"
@@ -58,6 +49,4 @@
 #include "quarantine/PromptHealthListener.h"
 #include "quarantine/PromptQuarantine.h"
 #include "servers/BackendServer.h"
-#include "servers/ServerHealth.h"
 #include "servers/ServerTable.h"
-#include "stop/StopSchedule.h"
--- a/modules/borageslip_traffic/engine/ResponseSource.h
+++ b/modules/borageslip_traffic/engine/ResponseSource.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "../http/HttpMessages.h"
-#include "../limits/MemoryBudget.h"
 #include "../net/ServerConnection.h"
+#include <borageslip_scheduling/limits/MemoryBudget.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <span>
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -1,6 +1,6 @@
 #include "TrafficEngine.h"
 
-#include "../limits/RetryAfter.h"
+#include <borageslip_scheduling/limits/RetryAfter.h>
 
 #include <borageslip_core/identity/Hash.h>
 #include <borageslip_core/logging/Log.h>
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -2,19 +2,19 @@
 
 #include "../configuration/TrafficConfiguration.h"
 #include "../http/HttpMessages.h"
-#include "../limits/FleetRetryBudget.h"
-#include "../limits/MemoryBudget.h"
-#include "../limits/PriorityReserve.h"
 #include "../limits/WaitQueue.h"
 #include "../metrics/TrafficCounts.h"
 #include "../net/AutoResetEvent.h"
 #include "../placement/ReservationBroker.h"
-#include "../placement/ServerChoice.h"
 #include "../protocol/CallerProtocol.h"
 #include "../quarantine/CrashDetector.h"
 #include "../quarantine/PromptQuarantine.h"
 #include "../servers/ServerTable.h"
-#include "../stop/StopSchedule.h"
+#include <borageslip_scheduling/limits/FleetRetryBudget.h>
+#include <borageslip_scheduling/limits/MemoryBudget.h>
+#include <borageslip_scheduling/limits/PriorityReserve.h>
+#include <borageslip_scheduling/placement/ServerChoice.h>
+#include <borageslip_scheduling/stop/StopSchedule.h>
 
 #include <borageslip_core/errors/Result.h>
 
--- a/modules/borageslip_traffic/limits/WaitQueue.h
+++ b/modules/borageslip_traffic/limits/WaitQueue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "../net/AutoResetEvent.h"
-#include "RequestQueue.h"
+#include <borageslip_scheduling/limits/RequestQueue.h>
 
 #include <unordered_map>
 
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "../placement/ReservationBroker.h"
-#include "../placement/ServerChoice.h"
 #include "DurationHistogram.h"
+#include <borageslip_scheduling/placement/ServerChoice.h>
 
 namespace borageslip {
 
--- a/modules/borageslip_traffic/peers/CoordinationHost.h
+++ b/modules/borageslip_traffic/peers/CoordinationHost.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../limits/ServiceQueue.h"
+#include <borageslip_scheduling/limits/ServiceQueue.h>
 
 #include <optional>
 #include <span>
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -6,9 +6,9 @@
 #include "../net/AutoResetEvent.h"
 #include "Member.h"
 #include "PeerReportTable.h"
-#include "ReservationCoordinator.h"
 #include "ServiceCoordination.h"
 #include "StoreReaders.h"
+#include <borageslip_scheduling/placement/ReservationCoordinator.h>
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -3,6 +3,7 @@
 #include "../quarantine/PromptQuarantine.h"
 
 #include <borageslip_core/errors/Result.h>
+#include <borageslip_scheduling/placement/ServerUsage.h>
 
 #include <chrono>
 #include <cstdint>
@@ -13,15 +14,6 @@
 
 namespace borageslip {
 
-/** Load that one instance has put on one backend server, or the total over several instances. */
-struct ServerUsage {
-    uint64_t server = 0; ///< Hash of the server's id.
-    uint32_t inFlight = 0; ///< Requests.
-    uint64_t pendingPrefill = 0; ///< Prompt tokens waiting for prefill.
-
-    bool operator==(const ServerUsage&) const = default;
-};
-
 /** Outcomes of one instance's requests at one backend server: totals since the instance first knew the server, or
     increases. */
 struct ServerOutcomes {
--- a/modules/borageslip_traffic/peers/ReservationMessages.h
+++ b/modules/borageslip_traffic/peers/ReservationMessages.h
@@ -9,14 +9,6 @@
 
 namespace borageslip {
 
-/** Limits on a server's usage below which a reservation may be granted. */
-struct ReservationLimits {
-    uint32_t slots = 0; ///< Concurrent requests at the server; 0 for unlimited.
-    uint64_t pendingPrefill = 0; ///< Prompt tokens waiting for prefill at the server; 0 for unlimited.
-
-    bool operator==(const ReservationLimits&) const = default;
-};
-
 /** The part of a prompt that other requests share. */
 struct SharedPrefix {
     uint64_t hash = 0; ///< 0 for none.
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "../net/ConnectionPool.h"
-#include "../placement/RecentPrefixes.h"
-#include "SendAllowance.h"
+#include <borageslip_scheduling/placement/RecentPrefixes.h>
+#include <borageslip_scheduling/servers/SendAllowance.h>
 
 #include <borageslip_core/time/Clock.h>
 
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -2,7 +2,7 @@
 
 #include "../peers/PeerReport.h"
 #include "BackendServer.h"
-#include "ServerHealth.h"
+#include <borageslip_scheduling/servers/ServerHealth.h>
 
 #include <functional>
 #include <map>
--- a/tests/borageslip_traffic/MemoryBudgetTests.cpp
+++ b/tests/borageslip_scheduling/MemoryBudgetTests.cpp
@@ -1,4 +1,4 @@
-#include <borageslip_traffic/limits/MemoryBudget.h>
+#include <borageslip_scheduling/borageslip_scheduling.h>
 
 #include <catch2/catch.hpp>
 #include <list>
--- a/tests/borageslip_traffic/ServerHealthTests.cpp
+++ b/tests/borageslip_scheduling/ServerHealthTests.cpp
@@ -1,4 +1,4 @@
-#include <borageslip_traffic/servers/ServerHealth.h>
+#include <borageslip_scheduling/borageslip_scheduling.h>
 
 #include <borageslip_core/identity/Hash.h>
 
--- a/tests/borageslip_traffic/ServiceQueueTests.cpp
+++ b/tests/borageslip_scheduling/ServiceQueueTests.cpp
@@ -1,5 +1,5 @@
 #include <borageslip_core/borageslip_core.h>
-#include <borageslip_traffic/borageslip_traffic.h>
+#include <borageslip_scheduling/borageslip_scheduling.h>
 
 #include <catch2/catch.hpp>
 #include <random>
