Move two tests that need messages to borageslip_traffic's tests

ServiceQueueTests and ReservationCoordinatorTests encode messages and use PeerReportTable, which borageslip_scheduling no longer sees since the decisions moved there, so borageslip_scheduling_tests did not compile. WaitingTests uses jitteredRetryAfter without including borageslip_scheduling.

The tests are unchanged apart from their includes.

--- a/tests/borageslip_scheduling/ReservationCoordinatorTests.cpp
+++ b/tests/borageslip_traffic/ReservationCoordinatorTests.cpp
@@ -1,5 +1,6 @@
 #include <borageslip_core/borageslip_core.h>
 #include <borageslip_scheduling/borageslip_scheduling.h>
+#include <borageslip_traffic/borageslip_traffic.h>
 
 #include <catch2/catch.hpp>
 #include <random>
--- a/tests/borageslip_traffic/WaitingTests.cpp
+++ b/tests/borageslip_traffic/WaitingTests.cpp
@@ -1,3 +1,4 @@
+#include <borageslip_scheduling/borageslip_scheduling.h>
 #include <borageslip_traffic/borageslip_traffic.h>
 
 #include <boost/asio/co_spawn.hpp>
