Split the two sides of reservations from PeerLink

ReservationGrants holds the coordinator's side (the decision, the wait list, rate shares, granted usage), ReservationRequests the asking side (selection of the coordinator, pending requests, timeouts). Both use the datagram endpoint and the members through ReservationHost, which PeerLink implements. No change of behaviour.

--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 #include <tuple>
 #include <type_traits>
 #include <utility>
@@ -30,21 +29,6 @@
     constexpr Duration minReportLifetime = milliseconds(1200);
     constexpr size_t maxDatagramBytes = 16 * 1024;
     constexpr Duration coordinatorLifetime = milliseconds(50); ///< For which a ranked coordinator is reused.
-    constexpr Duration replyTimeout = milliseconds(40); ///< A small fraction of the shortest latency objective.
-    constexpr int timeoutsBeforeExclusion = 2; ///< A single timeout may be a lost datagram.
-    constexpr Duration exclusionTime = std::chrono::seconds(2);
-    constexpr Duration minRateWait = milliseconds(10); ///< Between checks of a rate limit while requests wait for a slot as well.
-    constexpr Duration maxRateDeferral = std::chrono::seconds(1);
-    constexpr Duration maxReservationWait = std::chrono::seconds(5); ///< For which a request of another instance may wait here.
-
-    /** Time after a denial until the next request for a reservation of a server with a rate limit. Randomised, so that the
-        instances do not all ask at once. */
-    Duration rateDeferral(double perSecond)
-    {
-        static std::minstd_rand s_random { std::random_device {}() };
-        std::uniform_real_distribution<double> requests(0.3, 0.9);
-        return std::min(maxRateDeferral, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(requests(s_random) / perSecond)));
-    }
 
 }
 
@@ -57,6 +41,8 @@
     , m_timer(engine.executor())
     , m_reportTable(minReportLifetime)
     , m_pollEvent(engine.executor())
+    , m_grants(engine, m_reportTable, *this, m_ownName)
+    , m_requests(engine, *this, m_grants, m_ownName, m_incarnation)
     , m_coordination(engine.clock(), *this, m_ownName, m_incarnation, engine.choiceLimits().capFactor)
 {
     m_engine.setReservationBroker(this);
@@ -102,6 +88,7 @@
     logEvent(Severity::Info, "member-listed", { { "member", member.name } });
     const auto name = member.name;
     m_members[name] = { std::move(member), m_engine.clock().now() };
+    m_requests.forgetTimeouts(name);
     m_coordinators.clear();
     m_reportTable.setLifetime(std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
     m_engine.setInstanceCount(m_members.size() + 1);
@@ -131,6 +118,7 @@
     if (found == m_members.end())
         return;
     logEvent(Severity::Info, "member-removed", { { "member", name } });
+    m_requests.forgetTimeouts(name);
     m_members.erase(found);
     m_coordinators.clear();
     m_engine.setInstanceCount(m_members.size() + 1);
@@ -218,9 +206,9 @@
         if constexpr (std::is_same_v<Content, PeerReport>)
             receiveReport(std::move(content), sender);
         else if constexpr (std::is_same_v<Content, ReservationMessage>)
-            receiveReservationMessage(content, sender);
+            m_grants.receiveReservationMessage(content, sender);
         else if constexpr (std::is_same_v<Content, ReservationReply>)
-            receiveReservationReply(content);
+            m_requests.receiveReservationReply(content);
         else if constexpr (std::is_same_v<Content, ServerCrashNotice>)
             m_engine.quarantine().recordCrash(content.crash);
         else if constexpr (std::is_same_v<Content, ClearedPartsNotice>)
@@ -273,68 +261,10 @@
     for (const auto& prompt : report.quarantined)
         m_engine.quarantine().adopt(prompt);
     const auto changes = m_reportTable.apply(std::move(report), m_engine.clock().now());
-    for (const auto server : changes.servers)
-        updatePeerUsage(server);
-    for (const auto hash : changes.servers) {
-        if (const auto server = m_engine.servers().find(hash); server && m_waitList.first(hash) != nullptr)
-            grantWaiting(*server);
-    }
+    m_grants.applyReportedUsage(changes.servers);
     m_engine.servers().recordPeerOutcomes(changes.outcomes);
 }
 
-void PeerLink::updatePeerUsage(uint64_t server)
-{
-    if (const auto listed = m_engine.servers().find(server)) {
-        const auto usage = m_reportTable.totalUsage(server, m_engine.clock().now());
-        listed->setReportedUsage(static_cast<int>(usage.inFlight), static_cast<int64_t>(usage.pendingPrefill));
-    }
-}
-
-void PeerLink::receiveReservationMessage(const ReservationMessage& message, const udp::endpoint& sender)
-{
-    const auto now = m_engine.clock().now();
-    const auto server = m_engine.servers().find(message.usage.server);
-    const bool isApplied = m_reportTable.applyUsage(message, now);
-    updatePeerUsage(message.usage.server);
-    if (!server) {
-        // A new server may not be listed at this instance yet. A reservation for it is granted, because the sender has
-        // already checked the limits.
-        if (message.isRequest)
-            send(encodeReservationReply({ message.sequence, true, false, message.usage }), sender);
-        return;
-    }
-    if (message.isRequest && isApplied)
-        decideReservation(*server, message, sender);
-    else
-        grantWaiting(*server);
-}
-
-ServerUsage PeerLink::grantedUsage(const BackendServer& server) const
-{
-    const auto others = m_reportTable.totalUsage(server.hash(), m_engine.clock().now());
-    const auto waiting = m_waitList.usage(server.hash());
-    const auto requests = others.inFlight + static_cast<uint32_t>(server.ownInFlight());
-    const auto tokens = others.pendingPrefill + static_cast<uint64_t>(std::max<int64_t>(0, server.ownPendingPrefill()));
-    return { server.hash(), requests - std::min(requests, waiting.inFlight), tokens - std::min(tokens, waiting.pendingPrefill) };
-}
-
-bool PeerLink::canGrant(const BackendServer& server, const ServerUsage& usage, const ReservationLimits& limits) const
-{
-    const ReservationContext context { usage, m_engine.meanInFlight(server.description().service) };
-    return server.isInService() && canGrantReservation(context, limits, m_engine.choiceLimits().capFactor);
-}
-
-RequestRate::Share PeerLink::rateShare(const BackendServer& server)
-{
-    return coordinator(server.hash()) == nullptr ? RequestRate::Share::Coordinator : RequestRate::Share::Other;
-}
-
-bool PeerLink::hasRate(BackendServer& server, uint64_t prefixTokens)
-{
-    const auto now = m_engine.clock().now();
-    return !server.allowance().rateLimit(now) || server.allowance().hasRate(rateShare(server), prefixTokens, now);
-}
-
 void PeerLink::notifyRateLimit(const BackendServer& server)
 {
     const auto& limit = server.allowance().rateLimitNotice();
@@ -351,155 +281,6 @@
     }
 }
 
-void PeerLink::decideReservation(BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
-{
-    const auto now = m_engine.clock().now();
-    auto usage = grantedUsage(server);
-    usage.inFlight -= std::min(usage.inFlight, 1u);
-    usage.pendingPrefill -= std::min(usage.pendingPrefill, message.promptTokens);
-    const bool isBehind = m_waitList.hasBefore(server.hash(), message.priority);
-    server.allowance().recordDemand(message.prefix.tokens);
-    const bool isWithinRate = hasRate(server, message.prefix.tokens);
-    if (!isBehind && isWithinRate && canGrant(server, usage, message.limits))
-        return grantReservation(server, message, sender);
-    const bool lacksSlot = isBehind || !isWithinRate || (message.limits.slots != 0 && usage.inFlight >= message.limits.slots);
-    if (!isWithinRate && server.allowance().nextRequestAt(message.prefix.tokens, now) > now + message.waitWithin) {
-        ++m_engine.counts().rateLimitDenials;
-        return denyReservation(server, message, sender);
-    }
-    if (!lacksSlot || !server.isInService() || !m_waitList.hasRoom(message))
-        return denyReservation(server, message, sender);
-    m_waitList.add({ message, sender, now + std::min<Duration>(message.waitWithin, maxReservationWait) });
-    replyTo(message, sender, { message.sequence, false, true, usage });
-    m_pollEvent.notify();
-}
-
-void PeerLink::grantReservation(BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
-{
-    server.allowance().takeRate(m_engine.clock().now());
-    const bool isPrefixCached = message.prefix.hash != 0 && server.recordPrefix(message.prefix.hash);
-    if (isPrefixCached)
-        reduceUsage(message, { server.hash(), 0, message.prefix.tokens });
-    replyTo(message, sender, { message.sequence, true, false, grantedUsage(server), isPrefixCached });
-}
-
-void PeerLink::denyReservation(const BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
-{
-    reduceUsage(message, { server.hash(), 1, message.promptTokens });
-    replyTo(message, sender, { message.sequence, false, false, grantedUsage(server) });
-}
-
-void PeerLink::reduceUsage(const ReservationMessage& message, const ServerUsage& part)
-{
-    // The usage of this instance is not in the table.
-    if (message.sender == m_ownName)
-        return;
-    auto usage = m_reportTable.usageBy(message.sender, part.server);
-    usage.inFlight -= std::min(usage.inFlight, part.inFlight);
-    usage.pendingPrefill -= std::min(usage.pendingPrefill, part.pendingPrefill);
-    m_reportTable.setUsage(message.sender, usage);
-    updatePeerUsage(part.server);
-}
-
-void PeerLink::replyTo(const ReservationMessage& message, const udp::endpoint& sender, const ReservationReply& reply)
-{
-    if (message.sender == m_ownName)
-        receiveReservationReply(reply);
-    else
-        send(encodeReservationReply(reply), sender);
-}
-
-void PeerLink::grantWaiting(BackendServer& server)
-{
-    while (const auto* first = m_waitList.first(server.hash())) {
-        if (!hasRate(server, first->message.prefix.tokens) || !canGrant(server, grantedUsage(server), first->message.limits))
-            return;
-        const auto granted = m_waitList.takeFirst(server.hash());
-        grantReservation(server, granted.message, granted.sender);
-    }
-}
-
-void PeerLink::grantDue()
-{
-    const auto now = m_engine.clock().now();
-    for (const auto hash : m_waitList.servers()) {
-        if (const auto server = m_engine.servers().find(hash); server && server->allowance().rateLimit(now))
-            grantWaiting(*server);
-    }
-}
-
-std::optional<TimePoint> PeerLink::nextRateGrant() const
-{
-    const auto now = m_engine.clock().now();
-    std::optional<TimePoint> next;
-    for (const auto hash : m_waitList.servers()) {
-        const auto server = m_engine.servers().find(hash);
-        if (!server || !server->allowance().rateLimit(now))
-            continue;
-        // A request that waits for a slot is granted with the end of another one.
-        const auto due = std::max(server->allowance().nextRequestAt(m_waitList.first(hash)->message.prefix.tokens, now), now + minRateWait);
-        next = next ? std::min(*next, due) : due;
-    }
-    return next;
-}
-
-void PeerLink::denyExpired()
-{
-    for (const auto& expired : m_waitList.takeExpired(m_engine.clock().now())) {
-        if (const auto server = m_engine.servers().find(expired.message.usage.server))
-            denyReservation(*server, expired.message, expired.sender);
-    }
-}
-
-void PeerLink::receiveReservationReply(const ReservationReply& reply)
-{
-    const auto found = m_pendingRequests.find(reply.sequence);
-    if (found != m_pendingRequests.end()) {
-        found->second.reply = reply;
-        found->second.signal->notify();
-        return;
-    }
-    // The request has ended in the meantime, and the coordinator counts it.
-    if (const auto server = m_engine.servers().find(reply.usage.server); server && reply.isGranted)
-        notifyUsageChanged(*server);
-}
-
-PeerLink::ListedMember* PeerLink::coordinator(uint64_t server)
-{
-    const auto now = m_engine.clock().now();
-    std::vector<std::string_view> names;
-    std::vector<ListedMember*> listed;
-    for (auto& [name, member] : m_members) {
-        if (now < member.excludedUntil || !m_reportTable.hasRecentReport(name, now) || !m_reportTable.acceptsCallers(name))
-            continue;
-        names.push_back(name);
-        listed.push_back(&member);
-    }
-    if (m_acceptsCallers) {
-        names.push_back(m_ownName);
-        listed.push_back(nullptr);
-    }
-    const auto found = coordinatorOf(server, names);
-    return found ? listed[*found] : nullptr;
-}
-
-void PeerLink::recordReplyResult(ListedMember& member, bool hasReplied)
-{
-    member.consecutiveTimeouts = hasReplied ? 0 : member.consecutiveTimeouts + 1;
-    if (member.consecutiveTimeouts < timeoutsBeforeExclusion)
-        return;
-    member.consecutiveTimeouts = 0;
-    member.excludedUntil = m_engine.clock().now() + exclusionTime;
-    logEvent(Severity::Warning, "keeper-silent", { { "member", member.member.name } });
-}
-
-ReservationMessage PeerLink::usageMessage(const BackendServer& server)
-{
-    const auto inFlight = static_cast<uint32_t>(server.ownInFlight());
-    const auto pendingPrefill = static_cast<uint64_t>(std::max<int64_t>(0, server.ownPendingPrefill()));
-    return { m_ownName, m_incarnation, ++m_sequence, { server.hash(), inFlight, pendingPrefill } };
-}
-
 void PeerLink::send(std::span<const uint8_t> bytes, const udp::endpoint& to)
 {
     // A failed send is handled like a lost datagram.
@@ -507,80 +288,25 @@
     m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), to, 0, ignored);
 }
 
-asio::awaitable<ReservationResult> PeerLink::requestReservation(BackendServer& server, ReservationDemand demand)
+std::vector<ReservationPeer> PeerLink::reservationPeers() const
 {
-    auto* found = coordinator(server.hash());
-    auto message = usageMessage(server);
-    message.isRequest = true;
-    message.limits = demand.limits;
-    message.prefix = demand.prefix;
-    message.promptTokens = static_cast<uint64_t>(demand.promptTokens);
-    message.priority = demand.priority;
-    message.waitWithin = demand.waitWithin;
-    const bool isOwn = found == nullptr || !m_socket.is_open();
-    const auto name = isOwn ? m_ownName : found->member.name;
-    AutoResetEvent signal(m_engine.executor());
-    m_pendingRequests[message.sequence] = { &signal, {} };
-    if (isOwn)
-        decideReservation(server, message, {});
-    else
-        send(encodeReservationMessage(message), found->member.peerAddress);
-    co_await signal.waitFor(replyTimeout);
-    const auto& pending = m_pendingRequests.at(message.sequence);
-    if (const auto member = m_members.find(name); member != m_members.end())
-        recordReplyResult(member->second, pending.reply.has_value());
-    if (pending.reply && pending.reply->isWaiting) {
-        ++m_engine.counts().reservationWaits;
-        co_await signal.waitFor(demand.waitWithin + replyTimeout);
-    }
-    const auto reply = m_pendingRequests.extract(message.sequence).mapped().reply;
-    // The loads of a server that this instance coordinates are exact already.
-    if (reply && !isOwn)
-        applyStatedUsage(server, demand, *reply);
-    co_return resultOf(server, demand, reply);
-}
-
-ReservationResult PeerLink::resultOf(BackendServer& server, const ReservationDemand& demand, const std::optional<ReservationReply>& reply)
-{
-    auto outcome = ReservationOutcome::TimedOut;
-    if (reply)
-        outcome = reply->isGranted ? ReservationOutcome::Granted : ReservationOutcome::Denied;
-    ++m_engine.counts().reservationRequests.at(static_cast<size_t>(outcome));
     const auto now = m_engine.clock().now();
-    if (const auto limit = server.allowance().rateLimit(now); limit && outcome != ReservationOutcome::Granted) {
-        server.deferUntil(now + rateDeferral(*limit), demand.prefix.tokens);
-        // Without a reply, nobody knows how much of the rate limit is left.
-        if (!reply)
-            return { ReservationOutcome::Denied };
-    }
-    if (!reply) {
-        const ServerUsage known { server.hash(), static_cast<uint32_t>(std::max(0, server.inFlight() - 1)), static_cast<uint64_t>(std::max<int64_t>(0, server.pendingPrefill() - demand.promptTokens)) };
-        return { canGrant(server, known, demand.limits) ? ReservationOutcome::TimedOut : ReservationOutcome::Denied };
+    std::vector<ReservationPeer> peers;
+    for (const auto& [name, listed] : m_members) {
+        if (m_reportTable.hasRecentReport(name, now) && m_reportTable.acceptsCallers(name))
+            peers.push_back({ name, listed.member.peerAddress });
     }
-    // The second reply was lost: the coordinator may count the request.
-    if (reply->isWaiting)
-        asio::post(m_engine.executor(), [this, hash = server.hash()] {
-            if (const auto listed = m_engine.servers().find(hash))
-                notifyUsageChanged(*listed);
-        });
-    return { outcome, reply->isPrefixCached };
+    return peers;
 }
 
-void PeerLink::applyStatedUsage(BackendServer& server, const ReservationDemand& demand, const ReservationReply& reply)
+asio::awaitable<ReservationResult> PeerLink::requestReservation(BackendServer& server, ReservationDemand demand)
 {
-    const int ownCounted = server.ownInFlight() - (reply.isGranted ? 0 : 1);
-    const auto cachedTokens = static_cast<int64_t>(reply.isPrefixCached ? demand.prefix.tokens : 0);
-    const int64_t ownTokens = server.ownPendingPrefill() - (reply.isGranted ? cachedTokens : demand.promptTokens);
-    server.setStatedUsage(std::max(0, static_cast<int>(reply.usage.inFlight) - ownCounted), std::max<int64_t>(0, static_cast<int64_t>(reply.usage.pendingPrefill) - ownTokens));
+    return m_requests.requestReservation(server, demand);
 }
 
 void PeerLink::notifyUsageChanged(BackendServer& server)
 {
-    auto* found = coordinator(server.hash());
-    if (found == nullptr)
-        grantWaiting(server);
-    else if (m_socket.is_open())
-        send(encodeReservationMessage(usageMessage(server)), found->member.peerAddress);
+    m_requests.notifyUsageChanged(server);
 }
 
 std::unique_ptr<SlotTicket> PeerLink::requestSlot(SlotDemand demand, std::function<void()> onDecision)
@@ -592,10 +318,8 @@
 {
     while (m_socket.is_open()) {
         auto next = m_coordination.nextPoll();
-        for (const auto due : { m_waitList.nextExpiry(), nextRateGrant() }) {
-            if (due)
-                next = next ? std::min(*next, *due) : *due;
-        }
+        if (const auto due = m_grants.nextPoll())
+            next = next ? std::min(*next, *due) : due;
         if (next) {
             const auto delay = std::max(Duration::zero(), *next - m_engine.clock().now());
             co_await m_pollEvent.waitFor(delay);
@@ -603,8 +327,7 @@
             co_await m_pollEvent.wait();
         }
         m_coordination.poll();
-        grantDue();
-        denyExpired();
+        m_grants.poll();
     }
 }
 
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -2,10 +2,11 @@
 
 #include "../configuration/ConfigurationRefresh.h"
 #include "../engine/TrafficEngine.h"
-#include "../limits/ReservationWaitList.h"
 #include "../net/AutoResetEvent.h"
 #include "Member.h"
 #include "PeerReportTable.h"
+#include "ReservationGrants.h"
+#include "ReservationRequests.h"
 #include "ServiceCoordination.h"
 #include "StoreReaders.h"
 #include <borageslip_scheduling/placement/ReservationCoordinator.h>
@@ -13,7 +14,6 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
-#include <unordered_map>
 
 namespace borageslip {
 
@@ -30,7 +30,7 @@
 
     The report interval grows with the number of members, so that the rate of datagrams that an instance sends and
     receives does not depend on the size of the fleet. Not thread-safe: call it from the event loop that owns it. */
-class PeerLink final : public ReservationBroker, private CoordinationHost, private PromptHealthListener {
+class PeerLink final : public ReservationBroker, private CoordinationHost, private ReservationHost, private PromptHealthListener {
 public:
     /** @param ownCapacity network capacity of this instance in Mbit/s; 0 when unknown. */
     PeerLink(TrafficEngine&, std::string ownName, double ownCapacity = 0);
@@ -84,7 +84,7 @@
     size_t memberCount() const { return m_members.size(); }
 
     /** Requests of all instances that wait for a slot of the services and servers that this instance coordinates. */
-    size_t queuedRequestCount() const { return m_coordination.waitingCount() + m_waitList.size(); }
+    size_t queuedRequestCount() const { return m_coordination.waitingCount() + m_grants.waitingCount(); }
 
     /** Requests of this instance that wait for a slot from a coordinator. */
     size_t ownQueuedRequestCount() const { return m_coordination.ownWaitingCount(); }
@@ -94,8 +94,6 @@
     struct ListedMember {
         Member member;
         TimePoint listedAt {};
-        int consecutiveTimeouts = 0; ///< Consecutive reservation requests without a reply.
-        TimePoint excludedUntil {}; ///< Until then the member is not used as a coordinator.
         bool isDelisted = false; ///< Whether the store no longer lists it.
         bool isSilent = false; ///< Whether it did not reply and no message of it has arrived since.
     };
@@ -112,12 +110,6 @@
         TimePoint validUntil {};
     };
 
-    /** A reservation request that waits for its reply. */
-    struct PendingRequest {
-        AutoResetEvent* signal = nullptr;
-        std::optional<ReservationReply> reply {};
-    };
-
     boost::asio::awaitable<void> receiveAll();
     boost::asio::awaitable<void> reportPeriodically();
     void sendReports();
@@ -129,52 +121,10 @@
     void receive(PeerMessage, const boost::asio::ip::udp::endpoint& sender);
     void receiveReport(PeerReport, const boost::asio::ip::udp::endpoint& sender);
     void recordVersion(uint64_t version, const boost::asio::ip::udp::endpoint& sender);
-    void receiveReservationMessage(const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
-    void receiveReservationReply(const ReservationReply&);
     template <typename Message>
     void receiveCoordination(const Message&, const boost::asio::ip::udp::endpoint& sender);
-    void updatePeerUsage(uint64_t server);
-
-    /** The member that coordinates the server; null when it is this instance, or when there is none. */
-    ListedMember* coordinator(uint64_t server);
-
-    /** Usage of the server by all instances, without the requests that wait for it. */
-    ServerUsage grantedUsage(const BackendServer&) const;
-
-    /** Whether this instance grants a reservation. @param usage of the server without the reservation. */
-    bool canGrant(const BackendServer&, const ServerUsage& usage, const ReservationLimits&) const;
-
-    RequestRate::Share rateShare(const BackendServer&);
-
-    /** Whether the rate limit of the server allows a request now. */
-    bool hasRate(BackendServer&, uint64_t prefixTokens);
     void recordRateLimits(std::span<const RateLimitRow>);
 
-    /** Decides on a request that the sender has counted at the server. */
-    void decideReservation(BackendServer&, const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
-    void grantReservation(BackendServer&, const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
-    void denyReservation(const BackendServer&, const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender);
-    void replyTo(const ReservationMessage&, const boost::asio::ip::udp::endpoint& sender, const ReservationReply&);
-
-    /** Subtracts a part from what the sender of the request has counted at the server. */
-    void reduceUsage(const ReservationMessage&, const ServerUsage& part);
-
-    /** Grants free slots of the server to the requests that wait for it. */
-    void grantWaiting(BackendServer&);
-
-    /** Grants the requests that wait until the rate limits of their servers allow them. */
-    void grantDue();
-
-    /** When the rate limit of a server allows the next of the requests that wait; nothing when none waits for that. */
-    std::optional<TimePoint> nextRateGrant() const;
-    void denyExpired();
-
-    /** Sets the usage of the server by the other instances as its coordinator has stated it. */
-    static void applyStatedUsage(BackendServer&, const ReservationDemand&, const ReservationReply&);
-    ReservationResult resultOf(BackendServer&, const ReservationDemand&, const std::optional<ReservationReply>&);
-
-    /** Excludes a member as a coordinator after repeated timeouts. */
-    void recordReplyResult(ListedMember&, bool hasReplied);
     /** Records that a message of the member has arrived. */
     void recordSender(std::string_view name);
     boost::asio::awaitable<void> pollCoordination();
@@ -193,8 +143,14 @@
     void serverCrashed(const ServerCrash&) override;
     void partsCleared(const PromptFingerprint&) override;
 
-    ReservationMessage usageMessage(const BackendServer&);
-    void send(std::span<const uint8_t>, const boost::asio::ip::udp::endpoint&);
+    bool isOpen() const override { return m_socket.is_open(); }
+    bool acceptsCallers() const override { return m_acceptsCallers; }
+    std::vector<ReservationPeer> reservationPeers() const override;
+    bool isMember(std::string_view instance) const override { return m_members.contains(instance); }
+    bool isCoordinatorOf(uint64_t server) override { return !m_requests.coordinator(server); }
+    uint64_t nextSequence() override { return ++m_sequence; }
+    void receiveReservationReply(const ReservationReply& reply) override { m_requests.receiveReservationReply(reply); }
+    void send(std::span<const uint8_t>, const boost::asio::ip::udp::endpoint&) override;
 
     TrafficEngine& m_engine;
     std::string m_ownName;
@@ -207,11 +163,11 @@
     boost::asio::steady_timer m_timer;
     PeerReportTable m_reportTable;
     std::map<std::string, ListedMember, std::less<>> m_members;
-    std::unordered_map<uint64_t, PendingRequest> m_pendingRequests; ///< By sequence of the request.
     mutable std::map<std::string, KnownCoordinator, std::less<>> m_coordinators; ///< By service.
     CurrentSender m_currentSender;
-    ReservationWaitList m_waitList; ///< Of the servers that this instance coordinates.
     AutoResetEvent m_pollEvent;
+    ReservationGrants m_grants;
+    ReservationRequests m_requests;
     ServiceCoordination m_coordination;
 };
 
