--- a/tests/borageslip_traffic/WaitingTests.cpp
+++ b/tests/borageslip_traffic/WaitingTests.cpp
@@ -1,3 +1,4 @@
+#include <borageslip_scheduling/limits/RetryAfter.h>
 #include <borageslip_traffic/borageslip_traffic.h>
 
 #include <boost/asio/co_spawn.hpp>
