Split Exchange into the steps of a request

Change: the steps are classes of their own, in the order in which a request passes them: RequestAdmission, ReservationWait, ServerAttempt (connect and send), ResponseReceiver, ResponseDelivery. ExchangeContext holds the state that the steps share, AttemptState that of one attempt. Exchange runs them and finishes the request. Behaviour is unchanged; the code was moved.

--- /dev/null
+++ b/modules/borageslip_traffic/engine/RequestAdmission.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "ExchangeContext.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace borageslip::detail {
+
+/** Finds the route and the client account of one request. */
+class RequestAdmission {
+public:
+    /** The context must outlive the admission. */
+    explicit RequestAdmission(ExchangeContext&);
+
+    /** A refusal by a configuration that may be out of date is delayed until the configuration has been confirmed.
+        Errors: those of TrafficEngine::admit; also StoreUnavailable if the configuration is not confirmed in time. */
+    boost::asio::awaitable<Result<AdmittedRequest>> admit();
+
+private:
+    /** Admits the request once the configuration has been confirmed, so that no request is refused because this instance
+        has not learned of a change. Errors: also StoreUnavailable if it is not confirmed in time. */
+    boost::asio::awaitable<Result<AdmittedRequest>> admitWhenConfirmed();
+
+    ExchangeContext& m_context;
+};
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/engine/ReservationWait.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "ExchangeContext.h"
+#include "ServerReservation.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace borageslip::detail {
+
+using ReservationPtr = std::shared_ptr<ServerReservation>;
+
+/** Waits for a reservation or a slot on a backend server for the next attempt of one request. */
+class ReservationWait {
+public:
+    /** The context must outlive the wait and the reservation. */
+    explicit ReservationWait(ExchangeContext&);
+
+    /** Errors: NoEngineAvailable, Overloaded; for a retry also the error of the previous attempt. */
+    boost::asio::awaitable<Result<ReservationPtr>> awaitReservation();
+
+private:
+    /** Whether a request may wait for the server that has its prompt prefix. */
+    enum class PrefixWait {
+        Allowed,
+        None,
+    };
+
+    /** Waits until a server of the service accepts requests of this instance. Errors: Overloaded if none does in time. */
+    boost::asio::awaitable<Status> awaitEndOfPause();
+    boost::asio::awaitable<Result<ReservationPtr>> waitInQueue();
+
+    /** Waits for a slot from the queue of the service. */
+    boost::asio::awaitable<Result<ReservationPtr>> awaitSlot();
+    boost::asio::awaitable<std::unique_ptr<SlotTicket>> awaitDecision(const SlotDemand&);
+    SlotDemand slotDemand() const;
+    Error rejectionError(const SlotTicket&);
+
+    /** Chooses a backend server and reserves capacity on it; null if no server has any. */
+    boost::asio::awaitable<ReservationPtr> acquireReservation(PrefixWait);
+
+    /** How long the request waits for a slot of the server that has its prompt prefix. */
+    std::chrono::milliseconds prefixWait() const;
+    boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, std::chrono::milliseconds waitWithin);
+    QueuedRequest queuedRequest() const;
+
+    ExchangeContext& m_context;
+};
+
+}
--- /dev/null
+++ b/modules/borageslip_traffic/engine/ServerAttempt.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "AttemptState.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace borageslip::detail {
+
+/** Connects to a backend server, sends one request to it and has the response received. */
+class ServerAttempt {
+public:
+    /** The context must outlive the attempt. */
+    explicit ServerAttempt(ExchangeContext&);
+
+    boost::asio::awaitable<AttemptResult> run(ReservationPtr);
+
+private:
+    boost::asio::awaitable<AttemptResult> send(AttemptState&);
+
+    /** Reports the request as a suspect if the server has crashed before its response was complete. */
+    boost::asio::awaitable<void> checkForCrash(const AttemptState&);
+    std::string forwardedHead(const BackendServer&) const;
+    static boost::asio::awaitable<void> writeRequest(std::shared_ptr<ExchangeContext>, ServerConnectionPtr, std::string head, std::shared_ptr<bool> isWritten);
+
+    ExchangeContext& m_context;
+};
+
+}
