Bound the bytes of a rejected request that are discarded

Change: at most four times the longest permitted body is discarded. Test: with a clock that stands still, the new case of CallerListenerTests fails before the change and passes after it.

--- a/modules/borageslip_traffic/caller/CallerSession.cpp
+++ b/modules/borageslip_traffic/caller/CallerSession.cpp
@@ -27,6 +27,7 @@
     constexpr Duration idleMargin = std::chrono::seconds(1);
 
     constexpr Duration lingerTime = std::chrono::milliseconds(200); ///< For which bytes of a rejected request are discarded.
+    constexpr uint64_t lingerBodies = 4; ///< The longest permitted body, so many times over, is discarded at most.
 
     std::string chunkHeader(size_t bytes)
     {
@@ -250,7 +251,10 @@
     boost::system::error_code ignored;
     m_socket.shutdown(asio::socket_base::shutdown_send, ignored);
     const auto until = m_engine.clock().now() + lingerTime;
-    while (!m_isDisconnected) {
+    const uint64_t maxDiscardedBytes = lingerBodies * m_engine.callerLimits().maxBodyBytes;
+    uint64_t discardedBytes = 0;
+    while (!m_isDisconnected && discardedBytes <= maxDiscardedBytes) {
+        discardedBytes += m_receiveBuffer.size();
         m_receiveBuffer.clear();
         holdMemory();
         m_consumed.notify();
--- a/tests/borageslip_traffic/CallerListenerTests.cpp
+++ b/tests/borageslip_traffic/CallerListenerTests.cpp
@@ -27,8 +27,8 @@
 /** A listener without a configuration, which answers all requests with 503, beside callers that block. */
 class ListenerScene {
 public:
-    ListenerScene()
-        : m_engine(m_clock, m_context.get_executor(), m_protocol, {})
+    explicit ListenerScene(const Clock& clock = s_systemClock)
+        : m_engine(clock, m_context.get_executor(), m_protocol, {})
         , m_listener(m_engine, maxSessions)
         , m_endpoint(tcp::acceptor(m_context, { asio::ip::address_v4::loopback(), 0 }).local_endpoint())
     {
@@ -50,6 +50,20 @@
         asio::write(socket, asio::buffer(bytes));
     }
 
+    /** Sends bytes without end on a new connection that begins with these. Returns whether the connection was cut off
+        before the given number of bytes. */
+    bool isCutOff(const std::string& begin, size_t maxBytes)
+    {
+        tcp::socket socket(m_callerContext);
+        socket.connect(m_endpoint);
+        const std::string filler(64 * 1024, 'x');
+        boost::system::error_code failure;
+        asio::write(socket, asio::buffer(begin), failure);
+        for (size_t sent = 0; !failure && sent < maxBytes; sent += filler.size())
+            asio::write(socket, asio::buffer(filler), failure);
+        return static_cast<bool>(failure);
+    }
+
     /** Sends a request on a new connection. Returns the start of the response; empty if the connection is closed or no
         response comes within two seconds. */
     std::string ask()
@@ -66,7 +80,7 @@
     }
 
 private:
-    SystemClock m_clock;
+    static inline const SystemClock s_systemClock;
     PlainProtocol m_protocol;
     asio::io_context m_context;
     TrafficEngine m_engine;
@@ -97,3 +111,13 @@
     for (int i = 0; i < 5; ++i)
         CHECK(scene.ask() == "HTTP/1.1 503");
 }
+
+// Guards against a fast caller that sends without end for as long as the bytes of its rejected request are discarded. The clock
+// stands still, so that only the bound on the bytes can end that.
+TEST_CASE("the bytes of a rejected request that are discarded are bounded", "[caller]")
+{
+    constexpr size_t maxBytes = 64 * 1024 * 1024;
+    const ManualClock clock;
+    ListenerScene scene(clock);
+    CHECK(scene.isCutOff("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;", maxBytes));
+}
