--- a/modules/borageslip_scheduling/borageslip_scheduling.h
+++ b/modules/borageslip_scheduling/borageslip_scheduling.h
@@ -23,6 +23,7 @@
 #include "placement/ReservationCoordinator.h"
 #include "placement/ServerChoice.h"
 #include "placement/ServerUsage.h"
+#include "servers/Evacuations.h"
 #include "servers/SendAllowance.h"
 #include "servers/ServerHealth.h"
 #include "stop/StopSchedule.h"
