Read announced changes of evacuations besides the polls

Instances have to learn of an evacuation in time also behind a frozen reader. ConfigurationRefresh takes the store revision of an announced change beside the version of an announced configuration, and a read is due while either is ahead of what the instance knows.

Tested on the passed-in clock with one and two bad sources at 62, 75 and 300 instances: ConfigurationRefreshTests "an evacuation takes effect in time".

--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
@@ -45,30 +45,52 @@
 
 void ConfigurationRefresh::recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now)
 {
-    if (m_announcers.size() >= maxAnnouncers && !m_announcers.contains(instance))
-        m_announcers.clear();
-    m_announcers[instance] = version;
+    announcedBy(instance).version = version;
     if (version <= m_newestAnnounced)
         return;
     m_newestAnnounced = version;
     m_failedRounds = 0;
-    trackAwaited({ versionInForce }, now);
+    trackAwaited({ versionInForce, {}, {}, m_newestEvacuation }, now);
+}
+
+ConfigurationRefresh::Announced& ConfigurationRefresh::announcedBy(const boost::asio::ip::tcp::endpoint& instance)
+{
+    if (m_announcers.size() >= maxAnnouncers && !m_announcers.contains(instance))
+        m_announcers.clear();
+    return m_announcers[instance];
+}
+
+void ConfigurationRefresh::recordEvacuation(const boost::asio::ip::tcp::endpoint& instance, uint64_t revision)
+{
+    announcedBy(instance).evacuation = revision;
+    if (revision <= m_newestEvacuation)
+        return;
+    m_newestEvacuation = revision;
+    m_failedRounds = 0;
+}
+
+void ConfigurationRefresh::forgetEvacuations()
+{
+    m_newestEvacuation = 0;
+    m_awaited.evacuation = 0;
+    for (auto& [instance, announced] : m_announcers)
+        announced.evacuation = 0;
 }
 
 void ConfigurationRefresh::trackAwaited(const ConfigurationKnowledge& knowledge, TimePoint now)
 {
     // While versions come in quick succession, the polls that bring some of them suffice.
-    if (m_awaitedVersion > knowledge.version || !isBehind(knowledge))
+    if (m_awaited.isAheadOf(knowledge) || !isBehind(knowledge))
         return;
-    m_awaitedVersion = m_newestAnnounced;
+    m_awaited = { m_newestAnnounced, m_newestEvacuation };
     m_awaitedSince = now;
 }
 
 std::vector<StoreSource> ConfigurationRefresh::candidates(const ConfigurationKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const
 {
     std::vector<std::pair<uint64_t, StoreSource>> announcers;
-    for (const auto& [instance, version] : m_announcers) {
-        if (version > knowledge.version && StoreSource(instance) != polled)
+    for (const auto& [instance, announced] : m_announcers) {
+        if (announced.isAheadOf(knowledge) && StoreSource(instance) != polled)
             announcers.emplace_back(hashPair(m_ownHash, hashOf(instance)), instance);
     }
     std::sort(announcers.begin(), announcers.end());
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
@@ -20,6 +20,7 @@
     uint64_t version = 0; ///< In force; 0 for none.
     TimePoint confirmedAt {}; ///< When the version in force was the newest one in the store.
     Duration readTime {}; ///< Expected for the transfer of a configuration; the next source is asked that much later.
+    uint64_t knownRevision = 0; ///< Store revision up to which the evacuations are known.
 };
 
 /** A read of the configuration from one source. */
@@ -35,10 +36,10 @@
     Failed, ///< No answer in time, an error, or data that is out of date.
 };
 
-/** Decides when an instance reads the configuration besides its regular polls, and from which sources.
+/** Decides when an instance reads the configuration and the evacuations besides its regular polls, and from which sources.
 
-    A read is due when another instance has a newer version in force and the regular poll has not brought it, or when the
-    knowledge of the configuration is older than a part of the time within which changes must take effect. Reads are
+    A read is due when another instance has a newer version in force or knows of a change of the evacuations, and the
+    regular poll has not brought it, or when the knowledge of the configuration is older than a part of the time within which changes must take effect. Reads are
     hedged: while one has no answer, the next source is asked after a short time, so that the time until a change takes
     effect depends neither on the silence of single sources nor on their number.
 
@@ -56,6 +57,15 @@
     /** Records that an instance has a version in force. */
     void recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now);
 
+    /** Records that an instance knows of a change of the evacuations. @param revision of the change in the store. */
+    void recordEvacuation(const boost::asio::ip::tcp::endpoint& instance, uint64_t revision);
+
+    /** Revision of the latest change of the evacuations that another instance has announced. */
+    uint64_t newestEvacuation() const { return m_newestEvacuation; }
+
+    /** Forgets the announced changes of the evacuations: the store has gone back to a revision before them. */
+    void forgetEvacuations();
+
     /** The newest version that another instance has announced. */
     uint64_t newestAnnounced() const { return m_newestAnnounced; }
 
@@ -71,19 +81,29 @@
     TimePoint nextCheck(const ConfigurationKnowledge&, size_t instanceCount, TimePoint now) const;
 
 private:
-    bool isBehind(const ConfigurationKnowledge& knowledge) const { return m_newestAnnounced > knowledge.version; }
+    /** What an instance has announced. */
+    struct Announced {
+        uint64_t version = 0;
+        uint64_t evacuation = 0; ///< Revision.
+
+        bool isAheadOf(const ConfigurationKnowledge& knowledge) const { return version > knowledge.version || evacuation > knowledge.knownRevision; }
+    };
+
+    bool isBehind(const ConfigurationKnowledge& knowledge) const { return Announced { m_newestAnnounced, m_newestEvacuation }.isAheadOf(knowledge); }
     bool isOutdated(const ConfigurationKnowledge& knowledge, TimePoint now) const { return now - knowledge.confirmedAt > m_maxAge; }
     TimePoint dueAt(const ConfigurationKnowledge&, size_t instanceCount) const;
     std::vector<StoreSource> candidates(const ConfigurationKnowledge&, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const;
+    Announced& announcedBy(const boost::asio::ip::tcp::endpoint& instance);
     void endRound(TimePoint now);
     void trackAwaited(const ConfigurationKnowledge&, TimePoint now);
 
     uint64_t m_ownHash;
     Duration m_maxAge;
     uint64_t m_newestAnnounced = 0;
-    uint64_t m_awaitedVersion = 0; ///< Announced version that the regular poll is to bring.
+    uint64_t m_newestEvacuation = 0; ///< Revision.
+    Announced m_awaited; ///< What the regular poll is to bring.
     TimePoint m_awaitedSince {};
-    std::map<boost::asio::ip::tcp::endpoint, uint64_t> m_announcers; ///< Versions that instances have in force.
+    std::map<boost::asio::ip::tcp::endpoint, Announced> m_announcers;
     std::vector<StoreSource> m_asked; ///< In the current round.
     size_t m_outstanding = 0;
     TimePoint m_nextReadAt {};
--- a/tests/borageslip_traffic/ConfigurationRefreshTests.cpp
+++ b/tests/borageslip_traffic/ConfigurationRefreshTests.cpp
@@ -34,6 +34,12 @@
     Lossy, ///< The first packet of each connection is lost.
 };
 
+/** What is changed in the store. */
+enum class Change {
+    Version, ///< Of the configuration.
+    Evacuation,
+};
+
 /** One instance whose regular polls go to its reader, which has a fault from before a change on. All times are those of a
     passed-in clock. */
 class Model {
@@ -45,6 +51,7 @@
         bool hearsAnnouncements = true;
         bool isValueLarge = false;
         Duration ageAtChange {}; ///< Of the knowledge of the instance when the change is acknowledged.
+        Change change = Change::Version;
     };
 
     explicit Model(Setup setup)
@@ -56,11 +63,11 @@
     /** Time from the acknowledgement of a change until it is in force. */
     Duration timeUntilInForce()
     {
-        m_knowledge = { 1, m_changedAt - m_setup.ageAtChange };
+        m_knowledge = { 1, m_changedAt - m_setup.ageAtChange, {}, 1 };
         for (m_now = m_knowledge.confirmedAt; m_now < m_changedAt + 20s; m_now += step) {
             announce();
             deliver();
-            if (m_knowledge.version == 2)
+            if (m_knowledge.version == 2 || m_knowledge.knownRevision == 2)
                 return m_now - m_changedAt;
             if (const auto due = m_refresh.next(m_knowledge, m_ranked, m_reader, m_setup.instances, m_now))
                 begin(*due);
@@ -95,7 +102,11 @@
         if (!m_setup.hearsAnnouncements)
             return;
         for (const auto& source : m_ranked) {
-            if (source && hasChange(source, m_now))
+            if (!source || !hasChange(source, m_now))
+                continue;
+            if (m_setup.change == Change::Evacuation)
+                m_refresh.recordEvacuation(*source, 2);
+            else
                 m_refresh.recordAnnouncement(*source, 2, m_knowledge.version, m_now);
         }
     }
@@ -138,7 +149,8 @@
         }
         if (m_setup.isValueLarge && source && !done.read.includesLargeValue)
             return ConfigurationReadResult::ValueOmitted;
-        m_knowledge = { 2, knownAt };
+        const bool isVersion = m_setup.change == Change::Version;
+        m_knowledge = { isVersion ? 2U : 1U, knownAt, {}, isVersion ? 1U : 2U };
         return ConfigurationReadResult::Fresh;
     }
 
@@ -208,6 +220,51 @@
     }
 }
 
+// Guards against an instance that goes on sending requests to an evacuated domain because one or two of its sources are
+// frozen, behind or on a lossy link, whether or not it hears the announcements of the others.
+TEST_CASE("an evacuation takes effect in time whatever the source of an instance and one more source do", "[evacuation]")
+{
+    constexpr Duration evacuationBound = 5s;
+    for (const auto& site : { Site { 62, 3s }, Site { 300, 3s }, Site { 75, 5s } }) {
+        Duration longest {};
+        forEachFaultPair([&](const std::map<StoreSource, Fault>& sourceFaults) {
+            for (const bool hearsAnnouncements : { true, false }) {
+                for (Duration age {}; age <= 1300ms; age += 100ms) {
+                    const auto took = Model({ site.bound, site.instances, sourceFaults, hearsAnnouncements, false, age, Change::Evacuation }).timeUntilInForce();
+                    longest = std::max(longest, took);
+                }
+            }
+        });
+        INFO(site.instances << " instances: " << longest / 1ms << " ms at most");
+        CHECK(longest > 0ms);
+        CHECK(longest <= std::min(site.bound, evacuationBound));
+    }
+}
+
+// Guards against endless reads for a revision that the store has lost.
+TEST_CASE("an announced evacuation is read once the regular poll has not brought it, and not after it is forgotten", "[evacuation]")
+{
+    ConfigurationRefresh refresh("entry-1", 3s);
+    const TimePoint now { 100s };
+    const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2), instance(3) };
+    const ConfigurationKnowledge knowledge { 1, now, {}, 20 };
+    refresh.recordEvacuation(*instance(2), 20);
+    CHECK(!refresh.next(knowledge, ranked, ranked[0], 9, now));
+    CHECK(!refresh.next(knowledge, ranked, ranked[0], 9, now + 1500ms));
+    refresh.recordEvacuation(*instance(3), 30);
+    CHECK(!refresh.next(knowledge, ranked, ranked[0], 9, now + 1500ms));
+    CHECK(!refresh.next(knowledge, ranked, ranked[0], 9, now + 2s));
+    // A version announced in the meantime does not postpone the read.
+    refresh.recordAnnouncement(*instance(2), 1, 1, now + 2s);
+    const auto due = refresh.next(knowledge, ranked, ranked[0], 9, now + 2300ms);
+    REQUIRE(due);
+    CHECK(due->source == instance(3));
+    refresh.recordResult(due->source, ConfigurationReadResult::Failed, now + 2300ms);
+    refresh.forgetEvacuations();
+    CHECK(refresh.newestEvacuation() == 0);
+    CHECK(!refresh.next({ 1, now + 2s, {}, 20 }, ranked, ranked[0], 9, now + 3s));
+}
+
 TEST_CASE("an announced version is read from an instance that has it, without a call to the store")
 {
     ConfigurationRefresh refresh("entry-1", 2s);
