Keep new work away from servers of evacuated failure domains

EvacuationControl marks the servers; BackendServer::isInService() is false for them, so that choices, mean loads, service queues and coordinators count the remaining servers only. Exchange checks before connecting, after connecting and right before the first byte; an abandoned attempt counts neither as a send nor against the limits of the request. Requests that wait are rejected as not run when all servers of their service are evacuated, or move on when some are. The servers of a returning domain count as cold for cold_start_s.

--- a/modules/borageslip_traffic/configuration/TrafficConfiguration.h
+++ b/modules/borageslip_traffic/configuration/TrafficConfiguration.h
@@ -23,6 +23,7 @@
     std::string name;
     int maxConnections = 0; ///< Per backend server, over all instances; 0: not limited.
     std::optional<EngineCapacity> engine {}; ///< Set only if the backend servers are model engines.
+    std::chrono::milliseconds coldStart { 0 }; ///< For which a backend server is cold after its start.
 };
 
 /** Size limits and timeouts of requests from callers. */
--- a/modules/borageslip_traffic/engine/AttemptState.h
+++ b/modules/borageslip_traffic/engine/AttemptState.h
@@ -10,12 +10,20 @@
 /** How one attempt to send a request ended. */
 enum class AttemptResult {
     Delivered, ///< The complete response was delivered to the caller.
+    Abandoned, ///< The server was evacuated before the request was written.
     NotSent, ///< The request did not reach the intended backend server.
     NotRun, ///< The backend server reported that it did not run the request.
     Lost, ///< The request may have run, but its response is missing or incomplete.
     Aborted, ///< The caller disconnected or the deadline passed, or the response was cut off after its start.
 };
 
+/** How far the request has been written to a backend server. */
+enum class WriteProgress {
+    Begun, ///< Also when the write failed.
+    Complete,
+    Withheld, ///< No byte was written, because the server was evacuated.
+};
+
 /** State of one attempt to send a request, with what its end changes in the request and the backend server. */
 struct AttemptState {
     /** Closes the connection and records that the response is missing or incomplete. */
@@ -40,7 +48,7 @@
     bool isResponseBegun = false; ///< Whether the header of the response has arrived.
     bool isConnectionLost = false;
     bool hasProgressed = false; ///< Whether the response went on after its first event, or is complete. Clears the parts of the prompt; until then a crash makes them suspects.
-    std::shared_ptr<bool> isWritten = std::make_shared<bool>(false);
+    std::shared_ptr<WriteProgress> writeProgress = std::make_shared<WriteProgress>(WriteProgress::Begun);
 };
 
 }
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -7,6 +7,7 @@
 #include <borageslip_core/errors/Invariant.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace borageslip {
 
@@ -80,7 +81,7 @@
         }
         if (m_context->sendCount > 0 && !m_context->hasReservedRetry && !m_context->tryAcquireRetry())
             break;
-        if (m_context->sendCount > 0)
+        if (m_context->sendCount > 0 && !std::exchange(m_context->repeatsAbandoned, false))
             ++m_context->engine.counts().retries;
         m_context->hasReservedRetry = false;
         detail::ServerAttempt attempt(*m_context);
@@ -92,6 +93,10 @@
         }
         if (result == detail::AttemptResult::Aborted)
             break;
+        if (result == detail::AttemptResult::Abandoned) {
+            m_context->hasReservedRetry = m_context->repeatsAbandoned = m_context->sendCount > 0;
+            continue;
+        }
         if (result == detail::AttemptResult::NotSent) {
             ++unreachable;
             continue;
--- a/modules/borageslip_traffic/engine/ExchangeContext.cpp
+++ b/modules/borageslip_traffic/engine/ExchangeContext.cpp
@@ -91,6 +91,16 @@
     return metadata.promptParts.empty() ? 0 : metadata.promptTokens;
 }
 
+void ExchangeContext::recordAbandoned(const BackendServer& server)
+{
+    ++engine.counts().evacuationAbandons;
+    // Nothing was sent to the server, so that the request still waits for capacity like one without an attempt.
+    if (activeServer)
+        triedServers.pop_back();
+    logEvent(Severity::Info, "attempt-abandoned", { { "request", metadata.requestId }, { "server", server.description().id } });
+    lastError = { ErrorKind::EngineUnreachable, "the failure domain of the backend server is evacuated" };
+}
+
 void ExchangeContext::countOutcome(uint64_t TrafficCounts::*counter)
 {
     // The caller may disconnect while its response is being written, which reports a second outcome.
--- a/modules/borageslip_traffic/engine/ExchangeContext.h
+++ b/modules/borageslip_traffic/engine/ExchangeContext.h
@@ -51,6 +51,9 @@
     /** Whether the route allows another attempt if the current one may have run. */
     bool mayBeSentAgain() const { return route().mayRunAgain() && sendCount + 1 < route().maxAttempts; }
 
+    /** Records that an attempt has sent nothing because its server was evacuated. */
+    void recordAbandoned(const BackendServer&);
+
     void countOutcome(uint64_t TrafficCounts::*);
     void recordWait(TimePoint since);
     bool tryAcquireRetry();
@@ -76,6 +79,7 @@
     ChoiceReason choiceReason = ChoiceReason::LeastLoaded; ///< Of the latest chosen server.
     int sendCount = 0;
     bool hasReservedRetry = false; ///< A retry was taken from the budget and has not been used yet.
+    bool repeatsAbandoned = false; ///< The next attempt takes the place of an abandoned one.
     bool mayHaveRun = false;
     bool mayHaveCrashedServer = false; ///< A server crashed when it had begun to respond to this request.
     bool isOutcomeCounted = false;
--- a/modules/borageslip_traffic/engine/ReservationWait.cpp
+++ b/modules/borageslip_traffic/engine/ReservationWait.cpp
@@ -27,6 +27,8 @@
 
 asio::awaitable<Result<ReservationPtr>> ReservationWait::awaitReservation()
 {
+    if (isEvacuated())
+        co_return rejectEvacuated();
     if (!m_context.engine.hasServersInService(m_context.admitted.service))
         co_return Error { ErrorKind::NoEngineAvailable, "service \"" + m_context.admitted.service + "\" has no backend server in service" };
     auto resumed = co_await awaitEndOfPause();
@@ -46,6 +48,12 @@
     co_return co_await waitInQueue();
 }
 
+Error ReservationWait::rejectEvacuated()
+{
+    ++m_context.engine.counts().evacuationRejections;
+    return { ErrorKind::NoEngineAvailable, "all backend servers of \"" + m_context.admitted.service + "\" are in evacuated failure domains" };
+}
+
 asio::awaitable<Status> ReservationWait::awaitEndOfPause()
 {
     while (!m_context.isStopped()) {
@@ -119,8 +127,13 @@
     const auto serviceTime = m_context.route().kind == RequestKind::Stream ? Duration::zero() : m_context.engine.serviceTime(m_context.admitted.service);
     const auto giveUpAt = latestStart(m_context.arrivedAt, m_context.deadline, m_context.route().latencyObjective, serviceTime);
     WaitQueueEntry queueEntry(m_context.engine.waitQueue(m_context.admitted.service), m_context.admitted.requestPriority(), queuedRequest(), m_context.wakeEvent);
+    const EvacuationControl::Waiter waiter(m_context.engine.evacuation(), m_context.wakeEvent);
     const auto queuedAt = m_context.engine.clock().now();
     while (!m_context.isStopped() && queueEntry.isWaiting()) {
+        if (isEvacuated()) {
+            m_context.recordWait(queuedAt);
+            co_return rejectEvacuated();
+        }
         if (queueEntry.isFirst()) {
             auto reservation = co_await acquireReservation(PrefixWait::Allowed);
             if (reservation) {
@@ -152,7 +165,8 @@
 asio::awaitable<std::unique_ptr<SlotTicket>> ReservationWait::awaitDecision(const SlotDemand& demand)
 {
     auto ticket = m_context.engine.reservationBroker()->requestSlot(demand, [&wakeEvent = m_context.wakeEvent] { wakeEvent.notify(); });
-    while (!m_context.isStopped() && ticket->outcome() == SlotTicket::Outcome::Waiting) {
+    const EvacuationControl::Waiter waiter(m_context.engine.evacuation(), m_context.wakeEvent);
+    while (!m_context.isStopped() && ticket->outcome() == SlotTicket::Outcome::Waiting && !isEvacuated()) {
         const auto left = demand.startUntil - m_context.engine.clock().now();
         if (left <= Duration::zero())
             break;
@@ -165,6 +179,8 @@
 
 Error ReservationWait::rejectionError(const SlotTicket& ticket)
 {
+    if (isEvacuated())
+        return rejectEvacuated();
     m_context.expectedWait = ticket.retryAfter();
     // After an attempt, its failure says more than the queue.
     if (!m_context.triedServers.empty())
@@ -176,7 +192,8 @@
 {
     auto demand = slotDemand();
     const auto queuedAt = m_context.engine.clock().now();
-    for (int unknown = 0; unknown < maxUnknownServers && !m_context.isStopped(); ++unknown) {
+    int unknown = 0;
+    while (unknown < maxUnknownServers && !m_context.isStopped()) {
         auto ticket = co_await awaitDecision(demand);
         auto server = m_context.engine.servers().find(ticket->server());
         if (ticket->outcome() == SlotTicket::Outcome::Unanswered) {
@@ -199,6 +216,13 @@
         }
         // The coordinator knows the server, and this instance does not or no longer.
         demand.excluded.push_back(ticket->server());
+        if (!server || !server->isEvacuated()) {
+            ++unknown;
+            continue;
+        }
+        // The coordinator has not learned of the evacuation yet.
+        const auto unavailable = m_context.engine.unavailableServers(m_context.admitted.service);
+        demand.excluded.insert(demand.excluded.end(), unavailable.begin(), unavailable.end());
     }
     m_context.recordWait(queuedAt);
     co_return Error { ErrorKind::Overloaded, "no known backend server of \"" + m_context.admitted.service + "\" has a free slot" };
--- a/modules/borageslip_traffic/engine/ReservationWait.h
+++ b/modules/borageslip_traffic/engine/ReservationWait.h
@@ -35,6 +35,12 @@
     SlotDemand slotDemand() const;
     Error rejectionError(const SlotTicket&);
 
+    /** Whether evacuations leave the service no server. */
+    bool isEvacuated() const { return m_context.engine.evacuation().leavesNoServer(m_context.admitted.service); }
+
+    /** Counts a request that is rejected because of evacuations, and returns its error. */
+    Error rejectEvacuated();
+
     /** Chooses a backend server and reserves capacity on it; null if no server has any. */
     boost::asio::awaitable<ReservationPtr> acquireReservation(PrefixWait);
 
--- a/modules/borageslip_traffic/engine/ResponseReceiver.cpp
+++ b/modules/borageslip_traffic/engine/ResponseReceiver.cpp
@@ -46,6 +46,11 @@
         const auto& reader = source.reader();
         const bool hasHead = co_await source.readHead();
         m_state.reservation->onResponseBegun();
+        if (*m_state.writeProgress == WriteProgress::Withheld) {
+            m_state.attempt.fire(AttemptEvent::NotRun);
+            m_context.recordAbandoned(*m_state.server);
+            co_return AttemptResult::Abandoned;
+        }
         if (!hasHead)
             co_return m_state.handleLostConnection("connection lost before a response was received");
         m_state.isResponseBegun = true;
--- a/modules/borageslip_traffic/engine/ServerAttempt.cpp
+++ b/modules/borageslip_traffic/engine/ServerAttempt.cpp
@@ -32,6 +32,8 @@
 asio::awaitable<AttemptResult> ServerAttempt::run(ReservationPtr reservation)
 {
     const auto server = reservation->server();
+    if (server->isEvacuated())
+        co_return abandon(*server);
     m_context.record.recordSend(*server, m_context.engine, { m_context.choiceReason, m_context.admitted.affinity, reservation->pendingTokens() });
     m_context.triedServers.push_back(server->hash());
     m_context.activeServer = server;
@@ -39,6 +41,8 @@
     AttemptState state { m_context, std::move(reservation), server, server->pool().takeIdle() };
     if (!state.connection) {
         auto connected = co_await ConnectionPool::connect(m_context.engine.executor(), server->pool().endpoint(), connectLimit);
+        if (!isOk(connected) && server->isEvacuated())
+            co_return abandon(*server);
         if (!isOk(connected)) {
             server->recordUnreachable();
             m_context.lastError = error(connected);
@@ -49,6 +53,8 @@
     }
     if (m_context.isStopped())
         co_return AttemptResult::Aborted;
+    if (server->isEvacuated())
+        co_return abandon(*server);
     if (!server->acceptsRequests()) {
         m_context.lastError = { ErrorKind::EngineUnreachable, "the backend server was taken out of service while the connection was being opened" };
         co_return AttemptResult::NotSent;
@@ -68,6 +74,12 @@
     co_return result;
 }
 
+AttemptResult ServerAttempt::abandon(const BackendServer& server)
+{
+    m_context.recordAbandoned(server);
+    return AttemptResult::Abandoned;
+}
+
 std::string ServerAttempt::forwardedHead(const BackendServer& server) const
 {
     HttpRequest outgoing;
@@ -83,12 +95,18 @@
     return serializeRequestHead(outgoing, m_context.request.body().size());
 }
 
-asio::awaitable<void> ServerAttempt::writeRequest(std::shared_ptr<ExchangeContext> context, ServerConnectionPtr connection, std::string head, std::shared_ptr<bool> isWritten)
+asio::awaitable<void> ServerAttempt::writeRequest(std::shared_ptr<ExchangeContext> context, ServerConnectionPtr connection, BackendServerPtr server, std::string head, std::shared_ptr<WriteProgress> progress)
 {
+    // A coroutine that was spawned begins later than the checks before it.
+    if (server->isEvacuated()) {
+        *progress = WriteProgress::Withheld;
+        connection->close();
+        co_return;
+    }
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(context->request.body()) };
     boost::system::error_code failure;
     co_await asio::async_write(connection->socket, buffers, asio::redirect_error(asio::use_awaitable, failure));
-    *isWritten = !failure;
+    *progress = failure ? WriteProgress::Begun : WriteProgress::Complete;
 }
 
 asio::awaitable<AttemptResult> ServerAttempt::send(AttemptState& state)
@@ -101,9 +119,9 @@
     auto head = forwardedHead(*state.server);
     // A backend server may respond before it has read the whole body of a long request.
     if (head.size() + m_context.request.body().size() > maxInlineRequestBytes)
-        asio::co_spawn(m_context.engine.executor(), writeRequest(m_context.shared_from_this(), state.connection, std::move(head), state.isWritten), asio::detached);
+        asio::co_spawn(m_context.engine.executor(), writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.writeProgress), asio::detached);
     else
-        co_await writeRequest(m_context.shared_from_this(), state.connection, std::move(head), state.isWritten);
+        co_await writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.writeProgress);
     ResponseReceiver receiver(m_context, state);
     co_return co_await receiver.receive();
 }
--- a/modules/borageslip_traffic/engine/ServerAttempt.h
+++ b/modules/borageslip_traffic/engine/ServerAttempt.h
@@ -19,8 +19,9 @@
 
     /** Reports the request as a suspect if the server has crashed before its response was complete. */
     boost::asio::awaitable<void> checkForCrash(const AttemptState&);
+    AttemptResult abandon(const BackendServer&);
     std::string forwardedHead(const BackendServer&) const;
-    static boost::asio::awaitable<void> writeRequest(std::shared_ptr<ExchangeContext>, ServerConnectionPtr, std::string head, std::shared_ptr<bool> isWritten);
+    static boost::asio::awaitable<void> writeRequest(std::shared_ptr<ExchangeContext>, ServerConnectionPtr, BackendServerPtr, std::string head, std::shared_ptr<WriteProgress>);
 
     ExchangeContext& m_context;
 };
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -70,10 +70,21 @@
     , m_settings(std::move(settings))
     , m_memory(m_settings.bufferBytes)
     , m_servers(clock, executor)
+    , m_evacuation(clock, m_servers, m_settings.evacuableDomains, [this](std::string_view service) { return coldStartOf(service); })
     , m_quarantine(clock)
     , m_crashDetector(clock, executor, m_quarantine)
 {
     m_servers.setRestartHandler([this](const BackendServer& server) { m_crashDetector.serverRestarted(server); });
+    m_evacuation.setChangeHandler([this] {
+        if (m_reservationBroker != nullptr)
+            m_reservationBroker->onEvacuationChanged();
+    });
+}
+
+Duration TrafficEngine::coldStartOf(std::string_view service) const
+{
+    const auto* known = m_configuration ? m_configuration->service(service) : nullptr;
+    return known == nullptr ? Duration::zero() : Duration(known->coldStart);
 }
 
 void TrafficEngine::setPromptHealthListener(PromptHealthListener* listener)
@@ -210,7 +221,7 @@
     const auto now = m_clock.now();
     std::vector<uint64_t> unavailable;
     for (const auto& server : m_servers.ofService(service)) {
-        if (server->allowance().isLeaving() || server->allowance().isPaused(now))
+        if (server->allowance().isLeaving() || server->isEvacuated() || server->allowance().isPaused(now))
             unavailable.push_back(server->hash());
     }
     return unavailable;
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -9,6 +9,7 @@
 #include "../protocol/CallerProtocol.h"
 #include "../quarantine/CrashDetector.h"
 #include "../quarantine/PromptQuarantine.h"
+#include "../servers/EvacuationControl.h"
 #include "../servers/ServerTable.h"
 #include <borageslip_scheduling/limits/FleetRetryBudget.h>
 #include <borageslip_scheduling/limits/MemoryBudget.h>
@@ -37,6 +38,8 @@
     std::optional<Duration> keyLifetime {};
     /** Age of the configuration from which refusals by it have to be confirmed; absent: never. */
     std::optional<Duration> maxConfigurationAge {};
+    /** The failure domains that may be evacuated; absent if evacuation is disabled. */
+    std::optional<Evacuations::DomainSet> evacuableDomains {};
     size_t bufferBytes = 32 * 1024 * 1024; ///< Limit of the budget for the buffers of all connections, @see MemoryBudget.
 };
 
@@ -189,6 +192,7 @@
     std::chrono::milliseconds retryAfterStop(std::chrono::milliseconds timeLeft);
 
     ServerTable& servers() { return m_servers; }
+    EvacuationControl& evacuation() { return m_evacuation; }
     PromptQuarantine& quarantine() { return m_quarantine; }
     CrashDetector& crashDetector() { return m_crashDetector; }
 
@@ -226,6 +230,7 @@
     };
 
     ServiceState& serviceState(const std::string& service);
+    Duration coldStartOf(std::string_view service) const;
     void notifyOfCleared(const PromptFingerprint&);
 
     static constexpr size_t scratchBytes = 32 * 1024;
@@ -242,6 +247,7 @@
     bool m_othersAcceptCallers = true;
     MemoryBudget m_memory;
     ServerTable m_servers;
+    EvacuationControl m_evacuation;
     PromptQuarantine m_quarantine;
     CrashDetector m_crashDetector;
     PromptHealthListener* m_promptHealthListener = nullptr;
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -20,6 +20,8 @@
     uint64_t rateLimitDenials = 0; ///< Reservations and slots that this instance denied because of the rate limit of a server.
     uint64_t invalidRateLimits = 0; ///< Responses with a rate limit that cannot be applied as it stands.
     uint64_t quarantineRejections = 0; ///< Requests that were not sent because of quarantined prompt parts.
+    uint64_t evacuationAbandons = 0; ///< Attempts given up before the request was written, because their server was evacuated.
+    uint64_t evacuationRejections = 0; ///< Requests rejected because all servers of their service are evacuated.
     uint64_t promptTokens = 0; ///< Of requests sent to backend servers.
     uint64_t promptTokensCached = 0; ///< The part of promptTokens that was expected in the prefix cache of the server.
     std::array<uint64_t, choiceReasonCount> placements {}; ///< By ChoiceReason.
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -143,11 +143,14 @@
     {
         int ready = 0;
         int draining = 0;
+        int evacuated = 0;
         int ejected = 0;
         int lowered = 0;
         const auto now = engine.clock().now();
         for (const auto& [id, server] : engine.servers().all()) {
-            if (!server->isInService())
+            if (server->isEvacuated())
+                ++evacuated;
+            else if (!server->isInService())
                 ++draining;
             else if (server->isEjected(now))
                 ++ejected;
@@ -155,7 +158,7 @@
                 ++(engine.servers().health(server->description().service).hasReducedShare(server->hash()) ? lowered : ready);
         }
         auto family = makeFamily("borageslip_entry_servers", "Backend servers, by state", MetricType::Gauge);
-        for (const auto& [state, count] : { std::pair("ready", ready), std::pair("draining", draining), std::pair("ejected", ejected), std::pair("lowered", lowered) })
+        for (const auto& [state, count] : { std::pair("ready", ready), std::pair("draining", draining), std::pair("evacuated", evacuated), std::pair("ejected", ejected), std::pair("lowered", lowered) })
             addSample(family, "state", state, count);
         return family;
     }
@@ -195,6 +198,9 @@
         counter("borageslip_entry_retries_denied_total", "Repeats that the shared budget did not allow", counts.retriesDenied),
         counter("borageslip_entry_confirmations_total", "Refusals that waited for the configuration to be confirmed", counts.confirmations),
         counter("borageslip_entry_confirmations_missed_total", "Refusals for which the configuration was not confirmed in time", counts.confirmationsMissed),
+        gauge("borageslip_entry_evacuated_domains", "Failure domains that are evacuated", static_cast<double>(m_engine.evacuation().activeCount())),
+        counter("borageslip_entry_evacuation_abandons_total", "Attempts given up before the request was written, because the server was evacuated", counts.evacuationAbandons),
+        counter("borageslip_entry_evacuation_rejections_total", "Requests rejected because all servers of their service are evacuated", counts.evacuationRejections),
         gauge("borageslip_entry_rate_limited_servers", "Backend servers that have named a rate limit", static_cast<double>(rateLimitedServers(m_engine))),
         counter("borageslip_entry_rate_limit_denials_total", "Reservations that this coordinator denied because of the rate limit of a server", counts.rateLimitDenials),
         counter("borageslip_entry_rate_limits_invalid_total", "Responses with a rate limit that is no number or out of range", counts.invalidRateLimits),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -214,7 +214,7 @@
         else if constexpr (std::is_same_v<Content, ClearedPartsNotice>)
             m_engine.quarantine().clear(content.cleared);
         else if constexpr (std::is_same_v<Content, ConfigurationNotice>)
-            recordVersion(content.version, sender);
+            receiveConfigurationNotice(content, sender);
         else if constexpr (std::is_same_v<Content, RateLimitsNotice>)
             recordRateLimits(content.limits);
         else
@@ -247,6 +247,11 @@
     sendToAll(encodeConfigurationNotice({ m_ownName, version }));
 }
 
+void PeerLink::announceEvacuation(uint64_t revision)
+{
+    sendToAll(encodeConfigurationNotice({ m_ownName, m_engine.configurationVersion(), revision }));
+}
+
 void PeerLink::recordVersion(uint64_t version, const udp::endpoint& sender)
 {
     // An instance serves its copy of the store's keys on the TCP port of the same number.
@@ -254,6 +259,13 @@
         m_versionListener->versionAnnounced({ sender.address(), sender.port() }, version);
 }
 
+void PeerLink::receiveConfigurationNotice(const ConfigurationNotice& notice, const udp::endpoint& sender)
+{
+    recordVersion(notice.version, sender);
+    if (m_versionListener != nullptr && notice.evacuationRevision != 0)
+        m_versionListener->evacuationAnnounced({ sender.address(), sender.port() }, notice.evacuationRevision);
+}
+
 void PeerLink::receiveReport(PeerReport report, const udp::endpoint& sender)
 {
     recordVersion(report.configurationVersion, sender);
@@ -309,6 +321,12 @@
     m_requests.notifyUsageChanged(server);
 }
 
+void PeerLink::onEvacuationChanged()
+{
+    m_grants.denyEvacuated();
+    m_requests.endWaitsForEvacuated();
+}
+
 std::unique_ptr<SlotTicket> PeerLink::requestSlot(SlotDemand demand, std::function<void()> onDecision)
 {
     return m_coordination.requestSlot(std::move(demand), std::move(onDecision));
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -54,6 +54,7 @@
     public:
         virtual ~VersionListener() = default;
         virtual void versionAnnounced(const boost::asio::ip::tcp::endpoint& instance, uint64_t version) = 0;
+        virtual void evacuationAnnounced(const boost::asio::ip::tcp::endpoint& instance, uint64_t revision) = 0;
     };
 
     /** Sets who is told of versions; null for nobody. The listener must outlive the link. */
@@ -62,6 +63,9 @@
     /** Tells all other instances that a configuration was read from the store. */
     void announceConfiguration(uint64_t version);
 
+    /** Tells all other instances that a change of the evacuations was read from the store. */
+    void announceEvacuation(uint64_t revision);
+
     /** Sets whether callers may be directed to this instance; a change is reported at once. */
     void setAcceptsCallers(bool);
 
@@ -72,6 +76,7 @@
     boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, ReservationDemand) override;
     void notifyUsageChanged(BackendServer&) override;
     void notifyRateLimit(const BackendServer&) override;
+    void onEvacuationChanged() override;
     std::unique_ptr<SlotTicket> requestSlot(SlotDemand, std::function<void()> onDecision) override;
 
     /** Sources from which this instance reads the store, in order of preference; nothing stands for the store itself.
@@ -120,6 +125,7 @@
     Duration reportInterval() const;
     void receive(PeerMessage, const boost::asio::ip::udp::endpoint& sender);
     void receiveReport(PeerReport, const boost::asio::ip::udp::endpoint& sender);
+    void receiveConfigurationNotice(const ConfigurationNotice&, const boost::asio::ip::udp::endpoint& sender);
     void recordVersion(uint64_t version, const boost::asio::ip::udp::endpoint& sender);
     template <typename Message>
     void receiveCoordination(const Message&, const boost::asio::ip::udp::endpoint& sender);
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -124,14 +124,23 @@
 
 std::vector<uint8_t> encodeConfigurationNotice(const ConfigurationNotice& notice)
 {
-    return nlohmann::json::to_cbor(nlohmann::json::array({ configurationNoticeKind, notice.sender, notice.version }));
+    auto document = nlohmann::json::array({ configurationNoticeKind, notice.sender, notice.version });
+    // Earlier releases understand notices without the revision only.
+    if (notice.evacuationRevision != 0)
+        document.push_back(notice.evacuationRevision);
+    return nlohmann::json::to_cbor(document);
 }
 
 Result<ConfigurationNotice> configurationNoticeFrom(const nlohmann::json& document)
 {
-    if (document.size() != 3 || !document[1].is_string() || !document[2].is_number_unsigned())
-        return Error { ErrorKind::InvalidMessage, "malformed configuration notice" };
-    return ConfigurationNotice { document[1], document[2] };
+    const Error malformed { ErrorKind::InvalidMessage, "malformed configuration notice" };
+    if ((document.size() != 3 && document.size() != 4) || !document[1].is_string() || !document[2].is_number_unsigned())
+        return malformed;
+    if (document.size() == 3)
+        return ConfigurationNotice { document[1], document[2] };
+    if (!document[3].is_number_unsigned())
+        return malformed;
+    return ConfigurationNotice { document[1], document[2], document[3] };
 }
 
 }
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -63,10 +63,11 @@
     bool operator==(const PeerReport&) const = default;
 };
 
-/** Sent to all instances by one that has read a new configuration from the store. */
+/** Sent to all instances by one that has read a new configuration or a change of the evacuations from the store. */
 struct ConfigurationNotice {
     std::string sender;
     uint64_t version = 0;
+    uint64_t evacuationRevision = 0; ///< Store revision of the latest change of the evacuations; 0 if the notice is of a configuration.
 
     bool operator==(const ConfigurationNotice&) const = default;
 };
--- a/modules/borageslip_traffic/peers/ReservationGrants.cpp
+++ b/modules/borageslip_traffic/peers/ReservationGrants.cpp
@@ -193,6 +193,17 @@
     return next;
 }
 
+void ReservationGrants::denyEvacuated()
+{
+    for (const auto hash : m_waitList.servers()) {
+        const auto server = m_engine.servers().find(hash);
+        while (server && server->isEvacuated() && m_waitList.first(hash) != nullptr) {
+            const auto denied = m_waitList.takeFirst(hash);
+            denyReservation(*server, denied.message, denied.sender);
+        }
+    }
+}
+
 void ReservationGrants::denyExpired()
 {
     for (const auto& expired : m_waitList.takeExpired(m_engine.clock().now())) {
--- a/modules/borageslip_traffic/peers/ReservationGrants.h
+++ b/modules/borageslip_traffic/peers/ReservationGrants.h
@@ -41,6 +41,9 @@
     /** Grants the requests whose rate limit allows them, and denies those that have waited for as long as they may. */
     void poll();
 
+    /** Denies the requests that wait for servers which have been evacuated. */
+    void denyEvacuated();
+
     /** Time of the next call of poll(); nothing when it is not needed. */
     std::optional<TimePoint> nextPoll() const;
 
--- a/modules/borageslip_traffic/peers/ReservationRequests.cpp
+++ b/modules/borageslip_traffic/peers/ReservationRequests.cpp
@@ -40,6 +40,15 @@
 {
 }
 
+void ReservationRequests::endWaitsForEvacuated()
+{
+    for (const auto& [sequence, pending] : m_pendingRequests) {
+        const auto server = pending.reply && pending.reply->isWaiting ? m_engine.servers().find(pending.reply->usage.server) : nullptr;
+        if (server && server->isEvacuated())
+            pending.signal->notify();
+    }
+}
+
 void ReservationRequests::receiveReservationReply(const ReservationReply& reply)
 {
     const auto found = m_pendingRequests.find(reply.sequence);
--- a/modules/borageslip_traffic/peers/ReservationRequests.h
+++ b/modules/borageslip_traffic/peers/ReservationRequests.h
@@ -27,6 +27,9 @@
     void notifyUsageChanged(BackendServer&);
     void receiveReservationReply(const ReservationReply&);
 
+    /** Ends the waits for servers which have been evacuated: their coordinators may not know of it yet. */
+    void endWaitsForEvacuated();
+
     /** The instance that coordinates the server; nothing when it is this instance, or when there is none. */
     std::optional<ReservationPeer> coordinator(uint64_t server) const;
 
--- a/modules/borageslip_traffic/placement/ReservationBroker.h
+++ b/modules/borageslip_traffic/placement/ReservationBroker.h
@@ -52,6 +52,9 @@
 
     /** Notifies the other instances that the server has named another rate limit, or none any more. */
     virtual void notifyRateLimit(const BackendServer&) = 0;
+
+    /** Ends the waits for servers that have been evacuated. */
+    virtual void onEvacuationChanged() { }
 };
 
 }
--- a/modules/borageslip_traffic/servers/BackendServer.cpp
+++ b/modules/borageslip_traffic/servers/BackendServer.cpp
@@ -44,6 +44,13 @@
     m_pool.closeAll();
 }
 
+void BackendServer::setEvacuated(bool isEvacuated)
+{
+    m_isEvacuated = isEvacuated;
+    if (isEvacuated)
+        m_pool.closeAll();
+}
+
 void BackendServer::setLeaving()
 {
     m_allowance.setLeaving();
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -38,7 +38,11 @@
     ConnectionPool& pool() { return m_pool; }
 
     /** Whether new requests may be sent to it. */
-    bool isInService() const { return !m_isRemoved && !m_description.isDraining && !m_allowance.isLeaving(); }
+    bool isInService() const { return !m_isRemoved && !m_description.isDraining && !m_isEvacuated && !m_allowance.isLeaving(); }
+
+    /** Sets whether its failure domain is evacuated, and closes its idle connections if so. */
+    void setEvacuated(bool);
+    bool isEvacuated() const { return m_isEvacuated; }
 
     /** What it has said of the requests that it accepts. */
     SendAllowance& allowance() { return m_allowance; }
@@ -68,6 +72,9 @@
     /** Whether it is still slow after its start. */
     bool isCold(TimePoint now) const { return now < m_coldUntil; }
 
+    /** Assumes that it is cold for at least a time, from now on. */
+    void assumeColdFor(Duration duration) { m_coldUntil = std::max<TimePoint>(m_coldUntil, m_clock.now() + duration); }
+
     /** Whether it is temporarily ejected after failures, so that requests prefer other servers. */
     bool isEjected(TimePoint now) const { return now < m_ejectedUntil; }
 
@@ -145,6 +152,7 @@
     uint64_t m_hash;
     ConnectionPool m_pool;
     bool m_isRemoved = false;
+    bool m_isEvacuated = false;
     SendAllowance m_allowance;
     TimePoint m_deferredUntil {};
     uint64_t m_deferredPrefix = 0; ///< Prefix tokens of the denied request.
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -9,7 +9,6 @@
 namespace {
 
     constexpr Duration removedLifetime = std::chrono::minutes(10); ///< For which a removed server is remembered.
-    constexpr Duration removalGracePeriod = std::chrono::seconds(2); ///< Entries of live servers that expired during an outage of the store return within about this time.
 
 }
 
@@ -31,6 +30,7 @@
     const bool isSameIncarnation = known.startedAtMs == description.startedAtMs && known.address == description.address && known.service == description.service;
     if (isSameIncarnation) {
         found->second->update(std::move(description));
+        found->second->setEvacuated(isEvacuated(found->second->description()));
         return;
     }
     if (m_restartHandler && known.startedAtMs != description.startedAtMs)
@@ -47,12 +47,32 @@
         server->inherit(*removed->second.server);
         m_removed.erase(removed);
     }
+    server->setEvacuated(isEvacuated(server->description()));
     m_servers.emplace(server->description().id, server);
     m_health[server->description().service].add(server->hash());
     m_byHash.insert_or_assign(server->hash(), server);
     m_byService[server->description().service].push_back(std::move(server));
 }
 
+bool ServerTable::isEvacuated(const ServerDescription& description) const
+{
+    return m_evacuations != nullptr && m_evacuations->contains(description.failureDomain);
+}
+
+std::vector<BackendServerPtr> ServerTable::applyEvacuations()
+{
+    std::vector<BackendServerPtr> returned;
+    for (const auto& [id, server] : m_servers) {
+        const bool wasEvacuated = server->isEvacuated();
+        const bool isNow = isEvacuated(server->description());
+        if (wasEvacuated != isNow)
+            server->setEvacuated(isNow);
+        if (wasEvacuated && !isNow)
+            returned.push_back(server);
+    }
+    return returned;
+}
+
 void ServerTable::remove(std::string_view id)
 {
     const auto found = m_servers.find(id);
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -2,6 +2,7 @@
 
 #include "../peers/PeerReport.h"
 #include "BackendServer.h"
+#include <borageslip_scheduling/servers/Evacuations.h>
 #include <borageslip_scheduling/servers/ServerHealth.h>
 
 #include <functional>
@@ -32,6 +33,16 @@
         and unless it is listed again by then: entries of live servers that expired during the outage return. */
     void scheduleRemoval(std::string_view id);
 
+    /** Sets the evacuations that apply to the servers; null for none. They must outlive the table. */
+    void setEvacuations(const Evacuations* evacuations) { m_evacuations = evacuations; }
+
+    /** Applies a change of the evacuations. Returns the servers whose domain is not evacuated any more. */
+    std::vector<BackendServerPtr> applyEvacuations();
+
+    /** For which an entry that was missing after an outage of the store is kept: entries of live servers that expired
+        during the outage return within about this time. */
+    static constexpr Duration removalGracePeriod = std::chrono::seconds(2);
+
     /** Carries out due removals, evaluates the health of the servers and closes stale idle connections. Should be
         called about once a second. */
     void maintain();
@@ -69,10 +80,12 @@
     void removeExpired();
     void forgetRemoved();
     void evaluateHealth();
+    bool isEvacuated(const ServerDescription&) const;
 
     const Clock& m_clock;
     boost::asio::any_io_executor m_executor;
     std::function<void(const BackendServer&)> m_restartHandler;
+    const Evacuations* m_evacuations = nullptr;
     std::map<std::string, BackendServerPtr, std::less<>> m_servers;
     std::map<std::string, std::vector<BackendServerPtr>, std::less<>> m_byService;
     std::unordered_map<uint64_t, BackendServerPtr> m_byHash;
--- a/tests/borageslip_traffic/SendAllowanceTests.cpp
+++ b/tests/borageslip_traffic/SendAllowanceTests.cpp
@@ -199,6 +199,8 @@
     CHECK(std::get<RateLimitsNotice>(value(decoded)) == notice);
     const ConfigurationNotice configuration { "entry-1", 12 };
     CHECK(std::get<ConfigurationNotice>(value(decodePeerMessage(encodeConfigurationNotice(configuration)))) == configuration);
+    const ConfigurationNotice evacuation { "entry-1", 12, 345 };
+    CHECK(std::get<ConfigurationNotice>(value(decodePeerMessage(encodeConfigurationNotice(evacuation)))) == evacuation);
     PeerReport report { "entry-1", 5, 6, true, { { 77, 1, 2 } }, {}, {}, notice.limits, 12 };
     CHECK(value(decodePeerReport(encodePeerReport(report))) == report);
     CHECK(!isOk(decodePeerMessage(encodeRateLimitsNotice({ "entry-1", { { 77, -1, 0ms } } }))));
