Learn of evacuations from the store

The keys op/evacuate/ZONE are read like the configuration: through the watches and through the reads besides them, which now cover all keys under op/ including removals. Enabled by evacuate_ms in the bounds of the settings. platform-status lists the evacuated domains.

--- a/apps/borageslip/PlatformCommand.cpp
+++ b/apps/borageslip/PlatformCommand.cpp
@@ -5,6 +5,7 @@
 #include <platform/operators/DeployFile.h>
 #include <platform/operators/StoreOverview.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <sstream>
@@ -107,6 +108,16 @@
         }
     }
 
+    void describeEvacuations(const platform::StoreOverview& overview, PlatformStatus& status, std::ostream& text)
+    {
+        status.json["evacuated"] = nlohmann::json::array();
+        for (const auto& domain : overview.evacuatedDomains) {
+            const auto servers = std::count_if(overview.servers.begin(), overview.servers.end(), [&](const auto& server) { return server.failureDomain == domain; });
+            status.json["evacuated"].push_back({ { "domain", domain }, { "servers", servers } });
+            text << "evacuated failure domain " << domain << ": " << servers << " servers get no new work\n";
+        }
+    }
+
     void describeInstances(const platform::StoreOverview& overview, PlatformStatus& status, std::ostream& text)
     {
         const auto* stored = overview.configuration ? &*overview.configuration : nullptr;
@@ -154,6 +165,7 @@
     }
     describeInstances(overview, status, text);
     describeServers(overview, status, text);
+    describeEvacuations(overview, status, text);
     status.json["unusable"] = nlohmann::json::array();
     for (const auto& entry : overview.invalidEntries) {
         status.json["unusable"].push_back({ { "key", entry.key }, { "problem", entry.problem } });
--- a/tests/platform/PlatformDocumentsTests.cpp
+++ b/tests/platform/PlatformDocumentsTests.cpp
@@ -51,6 +51,33 @@
     CHECK(configuration.accountForKey("k")->name == "t");
 }
 
+// Guards against an evacuation by a malformed value, and against one at a deployment whose settings do not know of it.
+TEST_CASE("the documents of an evacuation are parsed, and evacuation is disabled without its setting", "[evacuation]")
+{
+    CHECK(isOk(parseEvacuation("{}")));
+    CHECK(isOk(parseEvacuation(R"({"reason":"power"})")));
+    for (const auto* text : { "", "[]", "{", "null", "1", "\"{}\"" })
+        CHECK_FALSE(isOk(parseEvacuation(text)));
+
+    auto document = settingsDocument();
+    CHECK_FALSE(value(parseSettings(document.dump())).maxEvacuationDelay);
+    CHECK(value(parseSettings(document.dump())).maxOperatorDelay() == std::chrono::milliseconds(2000));
+    document["bounds"]["evacuate_ms"] = 1500;
+    document["zones"] = { { "a", "north" }, { "b", "south" } };
+    document["region"] = "north";
+    const auto settings = value(parseSettings(document.dump()));
+    CHECK(settings.maxEvacuationDelay == std::chrono::milliseconds(1500));
+    CHECK(settings.maxOperatorDelay() == std::chrono::milliseconds(1500));
+    CHECK(settings.regionOfDomain.at("b") == "south");
+    CHECK(settings.region == "north");
+
+    auto configuration = configurationDocument();
+    configuration["backends"][0]["cold_start_s"] = 1.5;
+    const auto parsed = parseConfiguration(configuration.dump());
+    CHECK(value(parsed).service("p")->coldStart == std::chrono::milliseconds(1500));
+    CHECK(value(parsed).service("q")->coldStart == std::chrono::milliseconds(0));
+}
+
 TEST_CASE("a configuration with a missing field or a field of the wrong type is an error, not a default")
 {
     for (const auto* name : { "version", "routes", "backends" }) {
--- a/tests/platform/StoreCacheTests.cpp
+++ b/tests/platform/StoreCacheTests.cpp
@@ -77,6 +77,27 @@
     CHECK(full["items"][0]["value"].get<std::string>().size() > 40000);
 }
 
+// Guards against an instance that misses an evacuation or its end because its reads besides the watches leave them out.
+TEST_CASE("a read of the operators' keys gets evacuations and their ends, with the age of the configuration", "[evacuation]")
+{
+    StoreCache cache;
+    cache.apply({ "op/config", "c", 5 });
+    cache.apply({ "op/evacuate/b", "{}", 6 });
+    cache.apply({ "servers/a", "x", 7 });
+    cache.apply({ "op/evacuate/a", "{}", 8 });
+    cache.apply({ "op/evacuate/b", {}, 9, true });
+    cache.setAsOf(10);
+    const auto changes = nlohmann::json::parse(respondFromCache(cache, CacheAges { 700ms, 200ms }, "/borageslip/kv-watch?path_prefix=op/&after=5&wait_ms=1").body);
+    REQUIRE(changes["events"].size() == 2);
+    CHECK(changes["events"][0]["key"] == "op/evacuate/a");
+    CHECK(changes["events"][1]["deleted"] == true);
+    CHECK(changes["as_of"] == 10);
+    CHECK(changes["confirmed_age_ms"] == 200);
+    const auto keys = nlohmann::json::parse(respondFromCache(cache, CacheAges { 700ms, 200ms }, "/borageslip/kv-range?path_prefix=op/").body);
+    CHECK(keys["items"].size() == 2);
+    CHECK(keys["confirmed_age_ms"] == 200);
+}
+
 // Guards against store calls that grow with the fleet, and against instances without a source of changes.
 TEST_CASE("a few instances of each failure domain read the store, and each instance has several sources")
 {
