Add the decision which request prefills a prefix

PrefixFlights knows the prefixes that are being prefilled at each server and the requests that wait for them. Nothing uses it yet.

Tested: borageslip_scheduling_tests [prefix], each end of a prefill.

--- a/modules/borageslip_scheduling/borageslip_scheduling.h
+++ b/modules/borageslip_scheduling/borageslip_scheduling.h
@@ -19,6 +19,7 @@
 #include "limits/RetryAfter.h"
 #include "limits/ServiceQueue.h"
 #include "limits/ServiceState.h"
+#include "placement/PrefixFlights.h"
 #include "placement/RecentPrefixes.h"
 #include "placement/ReservationCoordinator.h"
 #include "placement/ServerChoice.h"
