Model coordinators and shared prefills in the placement experiment

The modelled engine caches a prefix only when its prefill has finished, but no policy modelled the coordinators of servers, so the experiment could not compare what they decide. The policy coordinated grants reservations and knows the prefixes sent to an engine; single-flight also lets requests wait for a prefix that is being prefilled. The table gains the prefilled tokens over the least that any placement needs. Messages between instances take no time in the model.

--- a/apps/borageslip-load/Main.cpp
+++ b/apps/borageslip-load/Main.cpp
@@ -166,7 +166,7 @@
     ExperimentOptions experimentOptions;
     auto* experiment = app.add_subcommand("experiment", "Compare placement policies on load patterns with simulated engines, without a network");
     experiment->add_option("--pattern", experimentOptions.patterns, "Load pattern file; repeatable")->required();
-    experiment->add_option("--policy", experimentOptions.policies, "Placement policy; repeatable: product, all-knowing, least-load, hashing, random")->capture_default_str();
+    experiment->add_option("--policy", experimentOptions.policies, "Placement policy; repeatable: product, coordinated, single-flight, all-knowing, least-load, hashing, random")->capture_default_str();
     experiment->add_option("--schema", experimentOptions.schema, "JSON schema of the pattern files")->capture_default_str();
     experiment->add_option("--seeds", experimentOptions.seeds, "Number of runs of each pattern and policy")->check(CLI::Range(1, 100'000))->capture_default_str();
     experiment->add_option("--threads", experimentOptions.threads, "Number of concurrent runs")->check(CLI::Range(1, 64))->capture_default_str();
--- a/modules/borageslip_experiment/model/CallerRequest.h
+++ b/modules/borageslip_experiment/model/CallerRequest.h
@@ -14,6 +14,7 @@
     enum class State {
         Outside, ///< Not at an instance: has not arrived yet, or its caller waits to retry after a rejection.
         Queued,
+        AwaitingPrefix, ///< Granted, but not sent while its prefix is being prefilled.
         AtEngine,
         Ended,
     };
@@ -36,6 +37,9 @@
     size_t engine = 0;
     int sendCount = 0;
     std::vector<uint64_t> triedEngines; ///< Hashes of the engines tried during the current call.
+    std::vector<size_t> deniedEngines; ///< Whose coordinators have denied the request in the current attempt to place it.
+    bool prefillsPrefix = false; ///< Whether other requests may wait for it.
+    bool wasSubmitted = false; ///< To any engine.
     int64_t pendingPrefill = 0; ///< Prompt tokens that the instance counts as pending at the engine until the first token.
     Duration sentAt {};
     Duration firstToken {};
--- a/modules/borageslip_experiment/model/InstanceModel.cpp
+++ b/modules/borageslip_experiment/model/InstanceModel.cpp
@@ -19,6 +19,7 @@
     , m_ownUsage(engines)
     , m_reportedUsage(engines)
     , m_peerUsage(engines)
+    , m_statedUsage(engines)
     , m_ejectedUntil(engines)
     , m_recentPrefixes(engines)
 {
--- a/modules/borageslip_experiment/model/InstanceModel.h
+++ b/modules/borageslip_experiment/model/InstanceModel.h
@@ -33,6 +33,14 @@
     void end(size_t engine);
     void removePendingPrefill(size_t engine, int64_t pendingPrefill) { m_ownUsage[engine].pendingPrefill -= pendingPrefill; }
 
+    /** Usage of one engine by the other instances as its coordinator has stated it. */
+    struct StatedUsage {
+        EngineUsage usage {};
+        TimePoint at {};
+    };
+    StatedUsage& statedUsage(size_t engine) { return m_statedUsage[engine]; }
+    bool isLoadOutdated(size_t engine, TimePoint now) const { return now - m_statedUsage[engine].at >= std::chrono::milliseconds(100); }
+
     const std::vector<EngineUsage>& ownUsage() const { return m_ownUsage; }
     std::vector<EngineUsage>& peerUsage() { return m_peerUsage; }
 
@@ -67,6 +75,7 @@
     std::vector<EngineUsage> m_ownUsage;
     std::vector<EngineUsage> m_reportedUsage;
     std::vector<EngineUsage> m_peerUsage;
+    std::vector<StatedUsage> m_statedUsage;
     std::vector<Duration> m_ejectedUntil;
     std::vector<RecentPrefixes> m_recentPrefixes; ///< By engine.
 };
--- a/modules/borageslip_experiment/model/PlacementStrategy.cpp
+++ b/modules/borageslip_experiment/model/PlacementStrategy.cpp
@@ -49,8 +49,10 @@
         return minimumBy(candidates, [&](const ServerCandidate& candidate) { return -rendezvousScore(key, candidate.hash); });
     }
 
-    constexpr std::array<PlacementStrategy, 5> strategies { {
+    constexpr std::array<PlacementStrategy, 7> strategies { {
         { "product", "rendezvous hashing on the prompt prefix with bounded loads, loads from reports", &chooseAsProduct, false },
+        { "coordinated", "as product, with reservations granted by a coordinator of each engine", &chooseAsProduct, false, true },
+        { "single-flight", "as coordinated; requests wait while their prefix is being prefilled", &chooseAsProduct, false, true, true },
         { "all-knowing", "as product, with the current loads of all instances", &chooseAsProduct, true },
         { "least-load", "the least loaded engine, loads from reports", &chooseLeastLoaded, false },
         { "hashing", "rendezvous hashing on the prompt prefix without a load bound", &chooseByHash, false },
--- a/modules/borageslip_experiment/model/PlacementStrategy.h
+++ b/modules/borageslip_experiment/model/PlacementStrategy.h
@@ -15,6 +15,8 @@
     std::string_view description;
     Choice choose = nullptr;
     bool usesCurrentLoads = false; ///< Reads the current loads of all instances instead of their last reports.
+    bool hasCoordinators = false; ///< Each engine has a coordinator that grants requests and knows the prefixes sent to it.
+    bool sharesPrefills = false; ///< Requests wait while their prefix is being prefilled; needs coordinators.
 };
 
 std::span<const PlacementStrategy> placementStrategies();
--- a/modules/borageslip_experiment/run/ExperimentOutcome.h
+++ b/modules/borageslip_experiment/run/ExperimentOutcome.h
@@ -28,12 +28,14 @@
     int64_t tokensPrefillWasted = 0; ///< For requests that were not completed, or again after a preemption.
     int64_t tokensReused = 0;
     int64_t tokensShareable = 0;
+    int64_t tokensLeast = 0; ///< Prefilled when each prefix is prefilled once and each own prompt part of the requests sent.
     int rejections = 0; ///< All rejections, including those of callers that were served after a retry.
     int retries = 0; ///< Requests sent to another engine after a failure.
     int preemptions = 0;
 
     ClassOutcome total() const;
     double reuseShare() const { return tokensShareable == 0 ? 1 : static_cast<double>(tokensReused) / static_cast<double>(tokensShareable); }
+    double prefillFactor() const { return tokensLeast == 0 ? 1 : static_cast<double>(tokensPrefilled) / static_cast<double>(tokensLeast); }
     double wastedPrefillShare() const { return tokensPrefilled == 0 ? 0 : static_cast<double>(tokensPrefillWasted) / static_cast<double>(tokensPrefilled); }
 };
 
--- a/modules/borageslip_experiment/run/ExperimentTable.cpp
+++ b/modules/borageslip_experiment/run/ExperimentTable.cpp
@@ -57,7 +57,7 @@
         for (const auto& [name, outcome] : run.classes)
             classes[name] = toJson(outcome);
         return { { "classes", classes }, { "tokens_generated", run.tokensGenerated }, { "tokens_prefilled", run.tokensPrefilled },
-            { "tokens_prefilled_in_vain", run.tokensPrefillWasted }, { "tokens_reused", run.tokensReused }, { "tokens_shareable", run.tokensShareable },
+            { "tokens_prefilled_in_vain", run.tokensPrefillWasted }, { "tokens_reused", run.tokensReused }, { "tokens_shareable", run.tokensShareable }, { "tokens_least", run.tokensLeast },
             { "rejections", run.rejections }, { "repeats", run.retries }, { "preemptions", run.preemptions } };
     }
 
@@ -65,7 +65,7 @@
 
 std::string experimentTable(std::span<const ExperimentSeries> all)
 {
-    std::string text = "| pattern | policy | on time | +/- | tokens delivered | rejections | failed | prefilled in vain | reuse |\n|---|---|---|---|---|---|---|---|---|\n";
+    std::string text = "| pattern | policy | on time | +/- | tokens delivered | rejections | failed | prefilled in vain | reuse | prefilled / least |\n|---|---|---|---|---|---|---|---|---|---|\n";
     for (const auto& series : all) {
         const std::vector<std::string> cells {
             series.pattern,
@@ -77,6 +77,7 @@
             formatNumber(meanOf(series, [](const auto& run) { return static_cast<double>(run.total().failed); }), 1),
             formatNumber(meanOf(series, [](const auto& run) { return run.wastedPrefillShare(); }), 3),
             formatNumber(meanOf(series, [](const auto& run) { return run.reuseShare(); }), 3),
+            formatNumber(meanOf(series, [](const auto& run) { return run.prefillFactor(); }), 3),
         };
         text += row(cells);
     }
--- a/modules/borageslip_experiment/run/PolicyExperiment.cpp
+++ b/modules/borageslip_experiment/run/PolicyExperiment.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace borageslip {
 
@@ -15,6 +16,10 @@
     constexpr Duration immediateRetryDelay = milliseconds(100); ///< Before a caller that ignores Retry-After calls again.
     constexpr int maxSends = 2;
     constexpr int maxUnreachableEngines = 3;
+    constexpr int maxDenials = 4; ///< By coordinators, after which a request is queued.
+    constexpr int prefixTokensPerWait = 12; ///< Per millisecond of the longest wait for a prefix.
+    constexpr int prefixWaitDivisor = 3; ///< Of the latency objective; the longest wait for a prefix.
+    constexpr uint64_t pendingPrefillLimit = 24'000; ///< Tokens; the default of ServerChoiceLimits.
     constexpr int maxCalls = 3; ///< By a caller that honours Retry-After.
     constexpr int maxImmediateCalls = 20; ///< By a caller that ignores Retry-After.
     constexpr Duration discoveryDelay = milliseconds(1000); ///< Time until the platform no longer lists a crashed engine.
@@ -126,6 +131,14 @@
         m_now = next.at;
         dispatch(next);
     }
+    std::set<uint64_t> prefixes;
+    for (const auto& request : m_requests) {
+        if (!request->wasSubmitted)
+            continue;
+        m_outcome.tokensLeast += request->promptTokens;
+        if (request->prefix != 0 && prefixes.insert(request->prefix).second)
+            m_outcome.tokensLeast += request->requestClass->prefixTokens;
+    }
     for (const auto& engine : m_engines) {
         const auto& counts = engine.model.counts();
         m_outcome.tokensGenerated += counts.generated;
@@ -149,6 +162,8 @@
         return endStep(next.subject);
     case EventType::Report:
         return report(next.subject);
+    case EventType::PrefixWaitEnd:
+        return endPrefixWait(*m_requests[next.subject]);
     case EventType::QueueCheck:
         return checkQueue(next.subject);
     case EventType::EventStart:
@@ -247,7 +262,8 @@
         ServerCandidate candidate;
         candidate.hash = InstanceModel::hashOf(i);
         candidate.slots = slots;
-        candidate.isExcluded = std::find(request.triedEngines.begin(), request.triedEngines.end(), candidate.hash) != request.triedEngines.end();
+        candidate.isExcluded = std::find(request.triedEngines.begin(), request.triedEngines.end(), candidate.hash) != request.triedEngines.end()
+            || std::find(request.deniedEngines.begin(), request.deniedEngines.end(), i) != request.deniedEngines.end();
         candidate.isEjected = instance.isEjected(i, m_now) || instance.health.isAvoided(candidate.hash, tieBreak, now());
         const auto add = [&](const InstanceModel::EngineUsage& usage) {
             candidate.inFlight += usage.inFlight;
@@ -257,8 +273,10 @@
             for (const auto& other : m_instances)
                 add(other.ownUsage()[i]);
         } else {
+            candidate.isLoadOutdated = m_strategy.hasCoordinators && instance.isLoadOutdated(i, now());
+            const bool isStated = m_strategy.hasCoordinators && !candidate.isLoadOutdated;
             add(instance.ownUsage()[i]);
-            add(instance.peerUsage()[i]);
+            add(isStated ? instance.statedUsage(i).usage : instance.peerUsage()[i]);
         }
         candidates.push_back(candidate);
         engines.push_back(i);
@@ -269,10 +287,16 @@
 
 bool PolicyExperiment::place(CallerRequest& request)
 {
-    for (int i = 0; i < maxUnreachableEngines; ++i) {
+    request.deniedEngines.clear();
+    for (int i = 0; i < maxUnreachableEngines;) {
         const auto engine = choose(request);
-        if (!engine)
+        if (!engine || request.deniedEngines.size() >= maxDenials)
             return false;
+        if (m_strategy.hasCoordinators && !m_engines[*engine].isDown && !isGranted(request, *engine)) {
+            request.deniedEngines.push_back(*engine);
+            continue;
+        }
+        ++i;
         if (send(request, *engine))
             return true;
         if (request.state == CallerRequest::State::Ended)
@@ -281,6 +305,88 @@
     return false;
 }
 
+InstanceModel::EngineUsage PolicyExperiment::totalUsage(size_t engine) const
+{
+    InstanceModel::EngineUsage total;
+    for (const auto& instance : m_instances) {
+        total.inFlight += instance.ownUsage()[engine].inFlight;
+        total.pendingPrefill += instance.ownUsage()[engine].pendingPrefill;
+    }
+    return total;
+}
+
+bool PolicyExperiment::isGranted(const CallerRequest& request, size_t engine)
+{
+    auto& instance = m_instances[request.instance];
+    const auto total = totalUsage(engine);
+    const auto& own = instance.ownUsage()[engine];
+    instance.statedUsage(engine) = { { total.inFlight - own.inFlight, total.pendingPrefill - own.pendingPrefill }, now() };
+    int inFlight = 0;
+    for (size_t i = 0; i < m_engines.size(); ++i)
+        inFlight += instance.ownUsage()[i].inFlight + instance.peerUsage()[i].inFlight;
+    const ReservationContext context { { InstanceModel::hashOf(engine), static_cast<uint32_t>(std::max(0, total.inFlight)), static_cast<uint64_t>(std::max<int64_t>(0, total.pendingPrefill)) },
+        static_cast<double>(inFlight) / static_cast<double>(m_engines.size()) };
+    const int slots = instance.priorityReserve.slotsFor(request.requestPriority(), m_pattern.engine.slots, now());
+    return canGrantReservation(context, { static_cast<uint32_t>(slots), request.prefix == 0 ? 0 : pendingPrefillLimit }, ServerChoiceLimits {}.capFactor);
+}
+
+void PolicyExperiment::submit(CallerRequest& request)
+{
+    auto& engine = m_engines[request.engine];
+    request.state = CallerRequest::State::AtEngine;
+    request.sentAt = m_now;
+    request.wasSubmitted = true;
+    engine.model.submit({ request.id, request.prefix, request.requestClass->prefixTokens, request.promptTokens, request.outputTokens });
+    if (!engine.isBusy)
+        startStep(request.engine);
+}
+
+bool PolicyExperiment::awaitsPrefix(CallerRequest& request)
+{
+    const auto tokens = request.requestClass->prefixTokens;
+    if (!m_strategy.sharesPrefills || request.prefix == 0 || !PrefixFlights::isShared(static_cast<uint64_t>(tokens)))
+        return false;
+    request.prefillsPrefix = request.pendingPrefill > request.promptTokens;
+    if (request.prefillsPrefix) {
+        m_prefixFlights.begin(prefixAt(request), request.id, static_cast<uint64_t>(tokens), now());
+        return false;
+    }
+    const auto until = m_prefixFlights.wait(prefixAt(request), { request.id, request.id }, now());
+    if (!until)
+        return false;
+    const Duration willing = std::min<Duration>(milliseconds(tokens / prefixTokensPerWait), request.requestClass->latencyObjective / prefixWaitDivisor);
+    request.state = CallerRequest::State::AwaitingPrefix;
+    schedule(m_now + std::min<Duration>(willing, *until - now()), EventType::PrefixWaitEnd, request.id);
+    return true;
+}
+
+void PolicyExperiment::endPrefixWait(CallerRequest& request)
+{
+    if (request.state == CallerRequest::State::AwaitingPrefix)
+        submit(request);
+}
+
+void PolicyExperiment::endPrefill(CallerRequest& request, bool isFinished)
+{
+    if (!std::exchange(request.prefillsPrefix, false))
+        return;
+    if (isFinished) {
+        for (const auto id : m_prefixFlights.finish(prefixAt(request), request.id, now()))
+            endPrefixWait(*m_requests[id]);
+        return;
+    }
+    const auto failure = m_prefixFlights.fail(prefixAt(request), request.id, now());
+    if (!failure.next)
+        return;
+    auto& next = *m_requests[*failure.next];
+    next.prefillsPrefix = true;
+    if (next.state != CallerRequest::State::AwaitingPrefix)
+        return endPrefill(next, false);
+    m_instances[next.instance].removePendingPrefill(next.engine, -next.requestClass->prefixTokens);
+    next.pendingPrefill += next.requestClass->prefixTokens;
+    submit(next);
+}
+
 bool PolicyExperiment::send(CallerRequest& request, size_t index)
 {
     auto& engine = m_engines[index];
@@ -300,12 +406,12 @@
         afterFailure(request);
         return true;
     }
-    request.state = CallerRequest::State::AtEngine;
     request.pendingPrefill = instance.uncachedTokens(index, request);
+    if (m_strategy.hasCoordinators)
+        request.pendingPrefill = request.promptTokens + (request.prefix == 0 || engine.prefixes.record(request.prefix) ? 0 : request.requestClass->prefixTokens);
     instance.begin(index, request.pendingPrefill);
-    engine.model.submit({ request.id, request.prefix, request.requestClass->prefixTokens, request.promptTokens, request.outputTokens });
-    if (!engine.isBusy)
-        startStep(index);
+    if (!awaitsPrefix(request))
+        submit(request);
     return true;
 }
 
@@ -352,10 +458,13 @@
         return;
     if (request.state == CallerRequest::State::Queued)
         m_instances[request.instance].queue.remove(queueId(request));
+    if (request.state == CallerRequest::State::AwaitingPrefix)
+        releaseEngine(request);
     if (request.state == CallerRequest::State::AtEngine) {
         m_outcome.tokensPrefillWasted += m_engines[request.engine].model.prefilledFor(request.id);
         m_engines[request.engine].model.cancel(request.id);
         releaseEngine(request);
+        endPrefill(request, false);
     }
     end(request, m_now < request.deadline ? &ClassOutcome::gaveUp : &ClassOutcome::timedOut);
 }
@@ -406,6 +515,7 @@
         request.hasDeliveredFirstToken = true;
         request.firstToken = m_now;
         clearPendingPrefill(request);
+        endPrefill(request, true);
         m_instances[request.instance].recordAnswer(request.engine, m_now - request.sentAt, timePoint(request.sentAt), now());
     }
     if (!item.isFinished)
@@ -422,15 +532,27 @@
     engine.downSince = m_now;
     engine.isBusy = false;
     ++engine.crashCount;
+    engine.prefixes = {};
+    const auto waiting = m_prefixFlights.drop(InstanceModel::hashOf(index));
     for (const auto& [id, prefilled] : engine.model.crash()) {
         auto& request = *m_requests[id];
         if (request.state != CallerRequest::State::AtEngine)
             continue;
         m_outcome.tokensPrefillWasted += prefilled;
         releaseEngine(request);
+        request.prefillsPrefix = false;
         m_instances[request.instance].ejectUnreachable(index, m_now);
         afterFailure(request);
     }
+    for (const auto id : waiting) {
+        auto& request = *m_requests[id];
+        if (request.state != CallerRequest::State::AwaitingPrefix)
+            continue;
+        releaseEngine(request);
+        request.state = CallerRequest::State::Outside;
+        if (!place(request) && request.state == CallerRequest::State::Outside)
+            enqueue(request);
+    }
 }
 
 void PolicyExperiment::applyEvent(const PatternEvent& event, bool isStart)
--- a/modules/borageslip_experiment/run/PolicyExperiment.h
+++ b/modules/borageslip_experiment/run/PolicyExperiment.h
@@ -5,6 +5,9 @@
 #include "../model/PlacementStrategy.h"
 #include "ExperimentOutcome.h"
 
+#include <borageslip_scheduling/placement/PrefixFlights.h>
+#include <borageslip_scheduling/placement/ReservationCoordinator.h>
+
 #include <memory>
 #include <queue>
 #include <random>
@@ -27,6 +30,7 @@
         Leave, ///< A caller gives up, or the deadline of its request passes.
         StepEnd, ///< An engine finishes a step.
         Report, ///< An instance reports its load to its peers.
+        PrefixWaitEnd, ///< A request has waited for its prefix for as long as it may.
         QueueCheck, ///< An instance rejects requests that have waited too long and places queued ones on free slots.
         EventStart,
         EventEnd,
@@ -51,6 +55,7 @@
         bool isFailing = false;
         Duration downSince {};
         uint64_t crashCount = 0; ///< Identifies steps that started before a crash; their output is discarded.
+        RecentPrefixes prefixes; ///< As its coordinator knows them.
         std::vector<StepOutput> output; ///< Of the current step, delivered when it ends.
     };
 
@@ -70,6 +75,13 @@
     bool place(CallerRequest&);
     std::optional<size_t> choose(const CallerRequest&);
     bool send(CallerRequest&, size_t engine);
+    bool isGranted(const CallerRequest&, size_t engine);
+    InstanceModel::EngineUsage totalUsage(size_t engine) const;
+    void submit(CallerRequest&);
+    bool awaitsPrefix(CallerRequest&);
+    void endPrefixWait(CallerRequest&);
+    void endPrefill(CallerRequest&, bool isFinished);
+    PrefixAtServer prefixAt(const CallerRequest& request) const { return { InstanceModel::hashOf(request.engine), request.prefix }; }
     void afterFailure(CallerRequest&);
     void reject(CallerRequest&);
     void releaseEngine(CallerRequest&);
@@ -95,6 +107,7 @@
     std::vector<std::unique_ptr<CallerRequest>> m_requests;
     std::vector<EngineState> m_engines;
     std::vector<InstanceModel> m_instances;
+    PrefixFlights m_prefixFlights;
     ExperimentOutcome m_outcome;
 };
 
