--- a/modules/borageslip_traffic/engine/ReservationWait.cpp
+++ b/modules/borageslip_traffic/engine/ReservationWait.cpp
@@ -77,13 +77,27 @@
     return std::min({ worthwhile, m_context.route().latencyObjective / prefixWaitDivisor, m_context.timeLeft() });
 }
 
+uint64_t ReservationWait::sharedPrefill() const
+{
+    const auto prefix = TrafficEngine::sharedPrefix(m_context.admitted);
+    return m_context.route().reusesPrefixes && PrefixFlights::isShared(prefix.tokens) ? prefix.hash : 0;
+}
+
+milliseconds ReservationWait::prefillWait() const
+{
+    if (sharedPrefill() == 0)
+        return milliseconds(0);
+    const auto objectiveLeft = toMilliseconds(m_context.route().latencyObjective - (m_context.engine.clock().now() - m_context.arrivedAt));
+    return std::max(milliseconds(0), std::min(prefixWait(), objectiveLeft / prefixWaitDivisor));
+}
+
 asio::awaitable<ReservationResult> ReservationWait::requestReservation(BackendServer& server, milliseconds waitWithin)
 {
     const auto prefix = TrafficEngine::sharedPrefix(m_context.admitted);
     auto* broker = m_context.engine.reservationBroker();
     if (broker == nullptr)
         co_return ReservationResult { ReservationOutcome::Granted, prefix.hash != 0 && server.recordPrefix(prefix.hash) };
-    const ReservationDemand demand { m_context.engine.reservationLimits(server, m_context.admitted), prefix, m_context.promptTokens(), m_context.admitted.requestPriority(), waitWithin };
+    const ReservationDemand demand { m_context.engine.reservationLimits(server, m_context.admitted), prefix, m_context.promptTokens(), m_context.admitted.requestPriority(), waitWithin, prefillWait() };
     co_return co_await broker->requestReservation(server, demand);
 }
 
@@ -105,6 +119,8 @@
             if (result.isPrefixCached)
                 reservation->removeCachedTokens(static_cast<int64_t>(TrafficEngine::sharedPrefix(m_context.admitted).tokens));
             reservation->confirm();
+            if (result.outcome == ReservationOutcome::Granted && !result.isPrefixCached)
+                reservation->beginPrefill(sharedPrefill());
             co_return reservation;
         }
         excluded.push_back(server->hash());
--- a/modules/borageslip_traffic/engine/ResponseReceiver.cpp
+++ b/modules/borageslip_traffic/engine/ResponseReceiver.cpp
@@ -51,8 +51,10 @@
             m_context.recordAbandoned(*m_state.server);
             co_return AttemptResult::Abandoned;
         }
-        if (!hasHead)
+        if (!hasHead) {
+            m_state.reservation->endPrefill(PrefillEnd::Failed);
             co_return m_state.handleLostConnection("connection lost before a response was received");
+        }
         m_state.isResponseBegun = true;
         m_context.setPhase(RequestPhase::AwaitingBody);
         const auto metadata = m_context.engine.protocol().responseMetadata(reader.head().result_int(), reader.head());
@@ -73,6 +75,8 @@
             co_return co_await handleNotRun(source);
         recordServerHealth(reader.head().result_int());
         const bool isSuccess = reader.head().result_int() / 100 == 2;
+        if (isSuccess)
+            m_state.reservation->endPrefill(PrefillEnd::Finished);
         if (!isSuccess && tryReserveRetry(reader.head().result_int())) {
             m_context.mayHaveRun = true;
             m_context.lastError = { ErrorKind::ServiceFailed, "the backend server returned a server error" };
