Order prefixes at servers without operator<=>

The linter takes the zero of the generated comparison for a null pointer. The time of a test becomes a constant expression, for the naming rule.

--- a/modules/borageslip_scheduling/placement/PrefixFlights.h
+++ b/modules/borageslip_scheduling/placement/PrefixFlights.h
@@ -2,11 +2,11 @@
 
 #include <borageslip_core/time/Clock.h>
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 namespace borageslip {
@@ -16,7 +16,8 @@
     uint64_t server = 0; ///< Hash of the server's id.
     uint64_t prefix = 0; ///< Hash of the prefix.
 
-    auto operator<=>(const PrefixAtServer&) const = default;
+    bool operator==(const PrefixAtServer&) const = default;
+    bool operator<(const PrefixAtServer& other) const { return std::tie(server, prefix) < std::tie(other.server, other.prefix); }
 };
 
 /** How the prefill of a prompt prefix ended. */
--- a/tests/borageslip_scheduling/PrefixFlightsTests.cpp
+++ b/tests/borageslip_scheduling/PrefixFlightsTests.cpp
@@ -12,7 +12,7 @@
 constexpr uint64_t tokens = 8400;
 constexpr uint64_t first = 10; ///< Instance that prefills the prefix.
 constexpr uint64_t second = 20;
-const TimePoint start = TimePoint() + 1h;
+constexpr TimePoint start = TimePoint() + 1h;
 
 PrefixFlights flightsWithTwoWaiters()
 {
