Decide on permits for cold servers by quota shares

A cold server crashes above a rate that all instances together must keep, and the coordinators of decision 0017 may grant twice when instances do not hear each other.

Adds the decisions, without I/O: the rates of the shares for a bound, rights to shares by time, which store calls acquire and keep them, permits, and what counts as cold. A cold server that is limited by permits is chosen after warm servers within their affinity limits and before those beyond them.

--- a/modules/borageslip_scheduling/borageslip_scheduling.h
+++ b/modules/borageslip_scheduling/borageslip_scheduling.h
@@ -10,6 +10,11 @@
     Depends on borageslip_core and borageslip_routing (fair queue, server health, bounded tables).
 */
 
+#include "cold/ColdPermit.h"
+#include "cold/ColdShareKeeper.h"
+#include "cold/ColdShareRate.h"
+#include "cold/ColdShareRights.h"
+#include "cold/ColdState.h"
 #include "limits/FleetRetryBudget.h"
 #include "limits/MemoryBudget.h"
 #include "limits/PriorityReserve.h"
--- a/modules/borageslip_scheduling/placement/ServerChoice.cpp
+++ b/modules/borageslip_scheduling/placement/ServerChoice.cpp
@@ -43,11 +43,23 @@
         return eligible;
     }
 
-    size_t leastLoaded(std::span<const ServerCandidate> candidates, std::span<const size_t> eligible, uint64_t tieBreak)
+    bool isWithinAffinityLimits(const ServerCandidate& candidate, double mean, const ServerChoiceLimits& limits)
     {
+        return candidate.inFlight < limits.affinityFactor * mean + limits.affinityMargin && candidate.pendingPrefill < limits.pendingPrefill;
+    }
+
+    size_t leastLoaded(std::span<const ServerCandidate> candidates, std::span<const size_t> eligible, uint64_t tieBreak, double mean, const ServerChoiceLimits& limits)
+    {
+        const bool hasLimited = std::any_of(eligible.begin(), eligible.end(), [&](size_t i) { return candidates[i].isLimitedWhileCold; });
+        // Cold servers without a limit come last; limited ones come before warm ones that have too much to do.
+        const auto rank = [&](const ServerCandidate& candidate) {
+            if (candidate.isCold)
+                return candidate.isLimitedWhileCold ? 1 : 3;
+            return hasLimited && !isWithinAffinityLimits(candidate, mean, limits) ? 2 : 0;
+        };
         const auto key = [&](size_t i) {
             const auto& candidate = candidates[i];
-            return std::tuple(candidate.isCold, candidate.inFlight, !candidate.isInOwnDomain, hashPair(tieBreak, candidate.hash));
+            return std::tuple(rank(candidate), candidate.inFlight, !candidate.isInOwnDomain, hashPair(tieBreak, candidate.hash));
         };
         return *std::min_element(eligible.begin(), eligible.end(), [&](size_t first, size_t second) { return key(first) < key(second); });
     }
@@ -67,7 +79,6 @@
         // A heap, because the first few candidates decide nearly always.
         std::make_heap(order.begin(), order.end());
         const double cap = limits.capFactor * mean + capMargin;
-        const double bound = limits.affinityFactor * mean + limits.affinityMargin;
         for (bool isFirst = true; !order.empty(); isFirst = false) {
             std::pop_heap(order.begin(), order.end());
             const auto index = order.back().index;
@@ -75,7 +86,7 @@
             const auto& candidate = candidates[index];
             if (candidate.isExcluded || candidate.isEjected || candidate.isCold)
                 continue;
-            const bool isWithinLimits = isWithinCap(candidate, cap) && candidate.inFlight < bound && candidate.pendingPrefill < limits.pendingPrefill;
+            const bool isWithinLimits = isWithinCap(candidate, cap) && isWithinAffinityLimits(candidate, mean, limits);
             if (isWithinLimits || candidate.isLoadOutdated)
                 return ServerChoice { index, isFirst ? ChoiceReason::Affinity : ChoiceReason::Spill };
         }
@@ -102,7 +113,7 @@
     }
     if (eligible.empty())
         return std::nullopt;
-    return ServerChoice { leastLoaded(candidates, eligible, tieBreak), ChoiceReason::LeastLoaded };
+    return ServerChoice { leastLoaded(candidates, eligible, tieBreak, mean, limits), ChoiceReason::LeastLoaded };
 }
 
 }
--- a/modules/borageslip_scheduling/placement/ServerChoice.h
+++ b/modules/borageslip_scheduling/placement/ServerChoice.h
@@ -19,6 +19,7 @@
     /** Whether the loads are too old to keep a request away from the server of its prompt prefix: the server's
         coordinator decides. */
     bool isLoadOutdated = false;
+    bool isLimitedWhileCold = false; ///< Whether it is cold and gets requests only with permits.
 };
 
 /** Requests in flight allowed above capFactor times the mean. The required bound on load skew allows three; the third
@@ -56,7 +57,8 @@
     load needs. A candidate whose loads are outdated is tried as if it were within the limits, because instances that
     spill by different outdated loads would spread a prefix over many servers, each of which reads it again. Without an
     affinity, or when all candidates exceed the affinity limits, the least loaded candidate is chosen; one in the own
-    failure domain is preferred at equal load. Ejected candidates are used only when no other one is eligible.
+    failure domain is preferred at equal load. A cold candidate is chosen only if no warm one is eligible or, while it is
+    limited by permits, if all warm ones exceed the affinity limits. Ejected candidates are used only when no other one is eligible.
     @param affinity hash of the shared prompt prefix; 0 for none.
     @param tieBreak hash that spreads choices over otherwise equal candidates.
     @return nothing when no candidate is eligible: each is excluded, has no free slot or is over the cap. */
