Send to cold servers only with permits

Requests to cold servers with a configured rate (cold_per_s) need a permit of a holder of quota shares, requested by datagram, or the instance's own share. The last check stands right before the request is written and holds for each attempt, retry and resumed stream; a withheld request counts as no attempt. A server is cold by its entry, by X-Cold-Ms, after a new start, after a crash or failed connection seen here or told by another instance, and for BackendServer::assumeColdFor.

--- a/modules/borageslip_traffic/configuration/TrafficConfiguration.h
+++ b/modules/borageslip_traffic/configuration/TrafficConfiguration.h
@@ -23,6 +23,8 @@
     std::string name;
     int maxConnections = 0; ///< Per backend server, over all instances; 0: not limited.
     std::optional<EngineCapacity> engine {}; ///< Set only if the backend servers are model engines.
+    double coldRequestsPerSecond = 0; ///< That a backend server can serve while it is cold; 0: not limited.
+    std::chrono::milliseconds coldStart { 0 }; ///< For which a backend server is cold after its start.
 };
 
 /** Size limits and timeouts of requests from callers. */
@@ -53,6 +55,7 @@
     const TrafficAccount* accountForKey(std::string_view key) const;
 
     const TrafficService* service(std::string_view name) const;
+    const std::map<std::string, TrafficService, std::less<>>& services() const { return m_services; }
 
     /** Whether the service has model engines or receives requests that are placed by their prompt prefixes. */
     bool reusesPrefixes(std::string_view service) const { return m_prefixServices.contains(service); }
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -29,6 +29,7 @@
     constexpr uint64_t prefixTokensPerWait = 12; ///< Per millisecond of the wait. A server prefills some times as many, but also delays its other requests and evicts other prefixes.
     constexpr Duration pauseCheckInterval = milliseconds(100); ///< While all known servers of a service want no requests.
     constexpr int maxUnknownServers = 3; ///< Granted servers that are not listed at this instance, after which a request is rejected.
+    constexpr int maxWithheldSends = 8; ///< Sends to servers that have become cold since they were chosen, after which a request fails.
     constexpr int maxUnreachableServers = 3; ///< Connection failures to backend servers after which a request fails.
     constexpr int maxMismatchedResponses = 2; ///< Responses to other requests that are discarded on one connection.
     constexpr size_t maxBufferedResponseBytes = 256 * 1024; ///< A longer response is forwarded while it is still arriving.
@@ -169,6 +170,7 @@
 {
     m_engine.recordArrival(m_admitted);
     int unreachable = 0;
+    int withheld = 0;
     while (m_stopReason == StopReason::None && m_sendCount < route().maxAttempts && unreachable < maxUnreachableServers && !isQuarantined() && !isTooLateToStart()) {
         setPhase(RequestPhase::Waiting);
         auto reservation = co_await awaitReservation();
@@ -189,6 +191,10 @@
         }
         if (result == AttemptResult::Aborted)
             break;
+        if (result == AttemptResult::NotPermitted && ++withheld < maxWithheldSends)
+            continue;
+        if (result == AttemptResult::NotPermitted)
+            break;
         if (result == AttemptResult::NotSent) {
             ++unreachable;
             continue;
@@ -298,10 +304,13 @@
 {
     auto excluded = m_triedServers;
     for (int denials = 0; denials < maxDenials && m_stopReason == StopReason::None; ++denials) {
-        const auto [server, reason] = m_engine.choose(m_admitted, excluded);
-        if (!server)
+        const auto [chosen, reason] = m_engine.choose(m_admitted, excluded);
+        if (!chosen)
             break;
         m_choiceReason = reason;
+        const auto [server, permit] = co_await awaitPermit(chosen, excluded);
+        if (!server)
+            continue;
         auto reservation = std::make_shared<detail::ServerReservation>(m_engine, server, promptTokens());
         const bool waits = prefixWaits == PrefixWait::Allowed && reason == ChoiceReason::Affinity;
         const auto waitWithin = waits ? prefixWait() : milliseconds(0);
@@ -312,6 +321,7 @@
             if (result.isPrefixCached)
                 reservation->removeCachedTokens(static_cast<int64_t>(TrafficEngine::sharedPrefix(m_admitted).tokens));
             reservation->confirm();
+            reservation->setColdPermit(permit);
             co_return reservation;
         }
         excluded.push_back(server->hash());
@@ -462,11 +472,23 @@
                 ticket->useWithoutGrant(server->hash());
         }
         const bool isUsable = server && server->acceptsRequests();
-        if (isUsable && m_stopReason == StopReason::None) {
+        std::optional<ColdPermit> permit;
+        const bool needsPermit = isUsable && m_engine.coldServers().isLimited(*server);
+        if (needsPermit)
+            permit = co_await m_engine.coldServers().requestPermit(*server);
+        const bool isPermitted = !needsPermit || permit;
+        if (isUsable && isPermitted && m_stopReason == StopReason::None) {
             recordWait(queuedAt);
             auto reservation = std::make_shared<detail::ServerReservation>(m_engine, server, 0, std::move(ticket));
+            reservation->setColdPermit(permit);
             co_return reservation;
         }
+        if (!isPermitted) {
+            // The next ticket is for a warm server.
+            const auto cold = m_engine.coldServers().limitedServers(m_admitted.service);
+            demand.excluded.insert(demand.excluded.end(), cold.begin(), cold.end());
+            continue;
+        }
         if (ticket->outcome() != SlotTicket::Outcome::Granted) {
             recordWait(queuedAt);
             co_return rejectionError(*ticket);
@@ -490,6 +512,7 @@
         auto connected = co_await ConnectionPool::connect(m_engine.executor(), server->pool().endpoint(), connectLimit);
         if (!isOk(connected)) {
             server->recordUnreachable();
+            m_engine.coldServers().recordUnreachable(*server);
             m_lastError = error(connected);
             logEvent(Severity::Warning, "server-unreachable", { { "request", m_metadata.requestId }, { "server", server->description().id }, { "detail", m_lastError.detail } });
             co_return AttemptResult::NotSent;
@@ -505,6 +528,8 @@
     // The request may have waited since the last check.
     if (isQuarantined() || isTooLateToStart())
         co_return AttemptResult::NotSent;
+    if (!m_engine.coldServers().maySend(*server, state.reservation->coldPermit()))
+        co_return withholdFromCold(state);
     m_activeConnection = state.connection;
     const auto result = co_await send(state);
     m_activeConnection = nullptr;
@@ -517,6 +542,34 @@
     co_return result;
 }
 
+asio::awaitable<Exchange::PermittedServer> Exchange::awaitPermit(BackendServerPtr server, std::vector<uint64_t>& excluded)
+{
+    if (!m_engine.coldServers().isLimited(*server))
+        co_return PermittedServer { server };
+    auto permit = co_await m_engine.coldServers().requestPermit(*server, excluded);
+    if (permit)
+        server = m_engine.servers().find(permit->server);
+    if (permit && server)
+        co_return PermittedServer { server, permit };
+    const auto cold = m_engine.coldServers().limitedServers(m_admitted.service);
+    excluded.insert(excluded.end(), cold.begin(), cold.end());
+    co_return PermittedServer {};
+}
+
+Exchange::AttemptResult Exchange::withholdFromCold(AttemptState& state)
+{
+    state.server->pool().returnConnection(state.connection);
+    // The server may be chosen again as soon as there is a permit for it.
+    m_triedServers.pop_back();
+    if (m_sendCount > 0) {
+        m_hasReservedRetry = true;
+        --m_engine.counts().retries;
+    } else {
+        m_lastError = { ErrorKind::Overloaded, "the backend server is cold and gets no further request at present" };
+    }
+    return AttemptResult::NotPermitted;
+}
+
 std::string Exchange::forwardedHead(const BackendServer& server) const
 {
     HttpRequest outgoing;
@@ -628,6 +681,8 @@
             continue;
         }
         applyRateLimit(state, metadata);
+        if (!metadata.isMisdirected)
+            m_engine.coldServers().recordResponse(*state.server, metadata.coldTimeLeft, state.sentAt);
         if (metadata.isEncoded)
             co_return handleLostResponse(state, "response has a content encoding");
         if (metadata.isMisdirected)
--- a/modules/borageslip_traffic/engine/Exchange.h
+++ b/modules/borageslip_traffic/engine/Exchange.h
@@ -56,6 +56,7 @@
     /** How one attempt to send the request ended. */
     enum class AttemptResult {
         Delivered, ///< The complete response was delivered to the caller.
+        NotPermitted, ///< The backend server is cold, and there is no valid permit for the request. Nothing was sent.
         NotSent, ///< The request did not reach the intended backend server.
         NotRun, ///< The backend server reported that it did not run the request.
         Lost, ///< The request may have run, but its response is missing or incomplete.
@@ -111,6 +112,16 @@
     int64_t promptTokens() const;
     boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, std::chrono::milliseconds waitWithin);
     boost::asio::awaitable<AttemptResult> attempt(ReservationPtr);
+
+    /** Undoes the attempt at a cold backend server for which there is no valid permit, before anything was sent. */
+    AttemptResult withholdFromCold(AttemptState&);
+
+    /** Replaces a cold server by the one for which a permit was obtained, and all cold servers are excluded if there is none. */
+    struct PermittedServer {
+        BackendServerPtr server; ///< Null if there is no permit.
+        std::optional<ColdPermit> permit {};
+    };
+    boost::asio::awaitable<PermittedServer> awaitPermit(BackendServerPtr, std::vector<uint64_t>& excluded);
     boost::asio::awaitable<AttemptResult> send(AttemptState&);
     boost::asio::awaitable<AttemptResult> receive(AttemptState&);
     boost::asio::awaitable<AttemptResult> handleNotRun(AttemptState&, ResponseSource&);
--- a/modules/borageslip_traffic/engine/ServerReservation.h
+++ b/modules/borageslip_traffic/engine/ServerReservation.h
@@ -40,6 +40,10 @@
     /** Marks the reservation as used, so that its release is announced to the other instances and the queue. */
     void confirm() { m_isConfirmed = true; }
 
+    /** Sets the permit for a server that was cold when it was chosen. */
+    void setColdPermit(std::optional<ColdPermit> permit) { m_coldPermit = permit; }
+    const std::optional<ColdPermit>& coldPermit() const { return m_coldPermit; }
+
     /** Prompt tokens that the server has to prefill. */
     int64_t pendingTokens() const { return m_tokens; }
 
@@ -68,6 +72,7 @@
     BackendServerPtr m_server;
     int64_t m_tokens;
     std::unique_ptr<SlotTicket> m_ticket; ///< Null unless the slot was granted from the queue of the service.
+    std::optional<ColdPermit> m_coldPermit {};
     bool m_isConfirmed = false;
 };
 
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -70,10 +70,15 @@
     , m_settings(std::move(settings))
     , m_memory(m_settings.bufferBytes)
     , m_servers(clock, executor)
+    , m_coldServers(clock, m_servers, m_counts, m_settings.coldBound)
     , m_quarantine(clock)
     , m_crashDetector(clock, executor, m_quarantine)
 {
     m_servers.setRestartHandler([this](const BackendServer& server) { m_crashDetector.serverRestarted(server); });
+    m_crashDetector.setCrashHandler([this](const BackendServer& server) {
+        if (const auto listed = m_servers.find(server.hash()))
+            m_coldServers.recordUnreachable(*listed);
+    });
 }
 
 void TrafficEngine::setPromptHealthListener(PromptHealthListener* listener)
@@ -107,6 +112,7 @@
         return;
     }
     m_configuration = std::move(configuration);
+    m_coldServers.setConfiguration(*m_configuration);
     logEvent(Severity::Info, "configuration-in-force", { { "version", m_configuration->version() }, { "routes", m_configuration->routes().size() }, { "keys", m_configuration->keyCount() } });
 }
 
@@ -253,17 +259,19 @@
     const bool keepsReserve = serviceState(admitted.service).priorityReserve.appliesTo(admitted.requestPriority(), now);
     m_candidates.clear();
     m_candidateServers.clear();
+    const bool mayHavePermits = m_coldServers.mayHavePermits(admitted.service);
     for (const auto& server : m_servers.ofService(admitted.service)) {
         if (!server->isInService())
             continue;
         // A server at its rate limit is left out, so that the load cap of the others counts only what they share.
         if (server->isDeferred(admitted.prefixTokens, now))
             continue;
-        const bool isExcluded = server->allowance().isPaused(now) || std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
+        const bool isLimited = m_coldServers.isLimited(*server);
+        const bool isExcluded = server->allowance().isPaused(now) || (isLimited && !mayHavePermits) || std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
         const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), admitted.hash, now);
         const int slots = keepsReserve ? PriorityReserve::unreservedSlots(server->description().slots) : server->description().slots;
         m_candidates.push_back({ server->hash(), server->inFlight(), slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
-            server->description().failureDomain == m_settings.failureDomain, m_reservationBroker != nullptr && server->isLoadOutdated() });
+            server->description().failureDomain == m_settings.failureDomain, m_reservationBroker != nullptr && server->isLoadOutdated(), isLimited });
         m_candidateServers.push_back(server);
     }
     const auto affinity = admitted.route->reusesPrefixes ? admitted.affinity : 0;
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -9,6 +9,7 @@
 #include "../protocol/CallerProtocol.h"
 #include "../quarantine/CrashDetector.h"
 #include "../quarantine/PromptQuarantine.h"
+#include "../servers/ColdServers.h"
 #include "../servers/ServerTable.h"
 #include <borageslip_scheduling/limits/FleetRetryBudget.h>
 #include <borageslip_scheduling/limits/MemoryBudget.h>
@@ -37,6 +38,7 @@
     std::optional<Duration> keyLifetime {};
     /** Age of the configuration from which refusals by it have to be confirmed; absent: never. */
     std::optional<Duration> maxConfigurationAge {};
+    ColdBoundSettings coldBound {};
     size_t bufferBytes = 32 * 1024 * 1024; ///< Limit of the budget for the buffers of all connections, @see MemoryBudget.
 };
 
@@ -189,6 +191,8 @@
     std::chrono::milliseconds retryAfterStop(std::chrono::milliseconds timeLeft);
 
     ServerTable& servers() { return m_servers; }
+    ColdServers& coldServers() { return m_coldServers; }
+    const ColdServers& coldServers() const { return m_coldServers; }
     PromptQuarantine& quarantine() { return m_quarantine; }
     CrashDetector& crashDetector() { return m_crashDetector; }
 
@@ -241,7 +245,9 @@
     std::optional<StopSchedule> m_stop;
     bool m_othersAcceptCallers = true;
     MemoryBudget m_memory;
+    TrafficCounts m_counts;
     ServerTable m_servers;
+    ColdServers m_coldServers;
     PromptQuarantine m_quarantine;
     CrashDetector m_crashDetector;
     PromptHealthListener* m_promptHealthListener = nullptr;
@@ -250,7 +256,6 @@
     std::vector<BackendServerPtr> m_candidateServers;
     size_t m_instanceCount = 1;
     ReservationBroker* m_reservationBroker = nullptr;
-    TrafficCounts m_counts;
     uint64_t m_sequenceNumber = 0;
     std::minstd_rand m_random { std::random_device {}() };
     std::array<char, scratchBytes> m_scratch {};
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -19,6 +19,9 @@
     uint64_t confirmationsMissed = 0; ///< Of these, the ones for which it was not confirmed in time.
     uint64_t rateLimitDenials = 0; ///< Reservations and slots that this instance denied because of the rate limit of a server.
     uint64_t invalidRateLimits = 0; ///< Responses with a rate limit that cannot be applied as it stands.
+    std::array<uint64_t, reservationOutcomeCount> coldPermitRequests {}; ///< Permits for cold servers requested from other instances; by ReservationOutcome.
+    uint64_t coldPermitsIssued = 0; ///< Permits for cold servers issued from the shares of this instance.
+    uint64_t coldSendsWithheld = 0; ///< Requests not written to a cold server for want of a valid permit.
     uint64_t quarantineRejections = 0; ///< Requests that were not sent because of quarantined prompt parts.
     uint64_t promptTokens = 0; ///< Of requests sent to backend servers.
     uint64_t promptTokensCached = 0; ///< The part of promptTokens that was expected in the prefix cache of the server.
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -101,6 +101,15 @@
         return family;
     }
 
+    MetricFamily coldPermitRequests(const TrafficCounts& counts)
+    {
+        constexpr std::array<const char*, reservationOutcomeCount> names { "granted", "denied", "unanswered" };
+        auto family = makeFamily("borageslip_entry_cold_permit_requests_total", "Permits for cold servers requested from other instances, by outcome", MetricType::Counter);
+        for (size_t i = 0; i < names.size(); ++i)
+            addSample(family, "outcome", names.at(i), static_cast<double>(counts.coldPermitRequests.at(i)));
+        return family;
+    }
+
     MetricFamily slotRequests(const TrafficCounts& counts)
     {
         constexpr std::array<const char*, SlotTicket::outcomeCount> names { "withdrawn", "granted", "rejected", "unanswered" };
@@ -198,6 +207,11 @@
         gauge("borageslip_entry_rate_limited_servers", "Backend servers that have named a rate limit", static_cast<double>(rateLimitedServers(m_engine))),
         counter("borageslip_entry_rate_limit_denials_total", "Reservations that this coordinator denied because of the rate limit of a server", counts.rateLimitDenials),
         counter("borageslip_entry_rate_limits_invalid_total", "Responses with a rate limit that is no number or out of range", counts.invalidRateLimits),
+        gauge("borageslip_entry_cold_servers", "Backend servers that get requests only with permits, because they are cold", static_cast<double>(m_engine.coldServers().limitedCount())),
+        gauge("borageslip_entry_cold_shares", "Quota shares of cold servers that this instance holds", static_cast<double>(m_peers.coldPermits().rights().heldCount(m_engine.clock().now()))),
+        coldPermitRequests(counts),
+        counter("borageslip_entry_cold_permits_total", "Permits for cold servers that this instance issued", counts.coldPermitsIssued),
+        counter("borageslip_entry_cold_sends_withheld_total", "Requests that were not written to a cold server for want of a valid permit", counts.coldSendsWithheld),
         counter("borageslip_entry_server_crashes_total", "Crashes of backend servers with requests of this instance that they had not begun to answer", m_engine.crashDetector().crashCount()),
         counter("borageslip_entry_quarantine_rejections_total", "Requests rejected because of quarantined prompt parts", counts.quarantineRejections),
         gauge("borageslip_entry_quarantined_prompts", "Quarantined combinations of prompt parts", static_cast<double>(m_engine.quarantine().quarantined().size())),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -58,6 +58,7 @@
     , m_reportTable(minReportLifetime)
     , m_pollEvent(engine.executor())
     , m_coordination(engine.clock(), *this, m_ownName, m_incarnation, engine.choiceLimits().capFactor)
+    , m_coldPermits(engine, *this, m_ownName)
 {
     m_engine.setReservationBroker(this);
     m_engine.setPromptHealthListener(this);
@@ -229,6 +230,8 @@
             recordVersion(content.version, sender);
         else if constexpr (std::is_same_v<Content, RateLimitsNotice>)
             recordRateLimits(content.limits);
+        else if constexpr (std::is_same_v<Content, ColdPermitRequest> || std::is_same_v<Content, ColdPermitReply> || std::is_same_v<Content, ColdServerNotice>)
+            m_coldPermits.receive(content, sender);
         else
             receiveCoordination(content, sender);
     },
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -4,6 +4,7 @@
 #include "../engine/TrafficEngine.h"
 #include "../limits/ReservationWaitList.h"
 #include "../net/AutoResetEvent.h"
+#include "ColdPermits.h"
 #include "Member.h"
 #include "PeerReportTable.h"
 #include "ServiceCoordination.h"
@@ -30,7 +31,7 @@
 
     The report interval grows with the number of members, so that the rate of datagrams that an instance sends and
     receives does not depend on the size of the fleet. Not thread-safe: call it from the event loop that owns it. */
-class PeerLink final : public ReservationBroker, private CoordinationHost, private PromptHealthListener {
+class PeerLink final : public ReservationBroker, private CoordinationHost, private PromptHealthListener, private ColdPermits::Transport {
 public:
     /** @param ownCapacity network capacity of this instance in Mbit/s; 0 when unknown. */
     PeerLink(TrafficEngine&, std::string ownName, double ownCapacity = 0);
@@ -79,6 +80,10 @@
         @see rankedStoreSources */
     std::vector<StoreSource> storeSources(const Member& own) const;
 
+    /** Permits for cold servers. */
+    ColdPermits& coldPermits() { return m_coldPermits; }
+    const ColdPermits& coldPermits() const { return m_coldPermits; }
+
     size_t livePeerCount() const { return m_reportTable.livePeerCount(m_engine.clock().now()); }
     Duration oldestReportAge() const { return m_reportTable.maxReportAge(m_engine.clock().now()); }
     size_t memberCount() const { return m_members.size(); }
@@ -193,6 +198,13 @@
     void serverCrashed(const ServerCrash&) override;
     void partsCleared(const PromptFingerprint&) override;
 
+    void sendDatagram(std::span<const uint8_t> bytes, const boost::asio::ip::udp::endpoint& to) override
+    {
+        if (m_socket.is_open())
+            send(bytes, to);
+    }
+    void sendDatagramToAll(std::span<const uint8_t> bytes) override { sendToAll(bytes); }
+
     ReservationMessage usageMessage(const BackendServer&);
     void send(std::span<const uint8_t>, const boost::asio::ip::udp::endpoint&);
 
@@ -213,6 +225,7 @@
     ReservationWaitList m_waitList; ///< Of the servers that this instance coordinates.
     AutoResetEvent m_pollEvent;
     ServiceCoordination m_coordination;
+    ColdPermits m_coldPermits;
 };
 
 }
--- a/modules/borageslip_traffic/peers/ReservationMessages.cpp
+++ b/modules/borageslip_traffic/peers/ReservationMessages.cpp
@@ -81,6 +81,12 @@
         return peerMessageFrom(configurationNoticeFrom(document));
     if (hasKind && document[0] == rateLimitsNoticeKind)
         return peerMessageFrom(rateLimitsNoticeFrom(document));
+    if (hasKind && document[0] == coldPermitRequestKind)
+        return peerMessageFrom(coldPermitRequestFrom(document));
+    if (hasKind && document[0] == coldPermitReplyKind)
+        return peerMessageFrom(coldPermitReplyFrom(document));
+    if (hasKind && document[0] == coldServerNoticeKind)
+        return peerMessageFrom(coldServerNoticeFrom(document));
     return peerMessageFrom(decodePeerReport(bytes));
 }
 
--- a/modules/borageslip_traffic/peers/ReservationMessages.h
+++ b/modules/borageslip_traffic/peers/ReservationMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ColdPermitMessages.h"
 #include "PeerReport.h"
 #include "QuarantineMessages.h"
 #include "ServiceMessages.h"
@@ -49,7 +50,7 @@
 };
 
 /** Any message between instances. */
-using PeerMessage = std::variant<PeerReport, ReservationMessage, ReservationReply, ServiceState, ServiceDecisions, CoordinatorNotice, ServerCrashNotice, ClearedPartsNotice, ConfigurationNotice, RateLimitsNotice>;
+using PeerMessage = std::variant<PeerReport, ReservationMessage, ReservationReply, ServiceState, ServiceDecisions, CoordinatorNotice, ServerCrashNotice, ClearedPartsNotice, ConfigurationNotice, RateLimitsNotice, ColdPermitRequest, ColdPermitReply, ColdServerNotice>;
 
 std::vector<uint8_t> encodeReservationMessage(const ReservationMessage&);
 std::vector<uint8_t> encodeReservationReply(const ReservationReply&);
--- a/modules/borageslip_traffic/protocol/CallerProtocol.h
+++ b/modules/borageslip_traffic/protocol/CallerProtocol.h
@@ -55,6 +55,7 @@
     bool isServerLeaving = false; ///< The backend server is about to end and wants no further requests.
     std::optional<std::chrono::milliseconds> retryAfter {}; ///< For how long the backend server wants no request of this instance.
     std::optional<Result<double>> rateLimit {}; ///< Requests a second that the backend server accepts from all instances; an error if it cannot be read.
+    std::optional<std::chrono::milliseconds> coldTimeLeft {}; ///< For which the backend server is going to be cold; zero: it is not.
     bool isEncoded = false; ///< The response has a content encoding, so its body is not what the backend server produced.
     std::optional<ServerLoad> load {};
 };
--- a/modules/borageslip_traffic/quarantine/CrashDetector.cpp
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.cpp
@@ -94,6 +94,8 @@
 void CrashDetector::endCheck(const BackendServer& server, Check& ended)
 {
     m_checks.erase(server.hash());
+    if (ended.hasCrashed && m_crashHandler)
+        m_crashHandler(server);
     if (ended.hasCrashed)
         report(server, ended);
     else
--- a/modules/borageslip_traffic/quarantine/CrashDetector.h
+++ b/modules/borageslip_traffic/quarantine/CrashDetector.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -33,6 +34,9 @@
         it accepted the check, it has crashed all the same. */
     void serverRestarted(const BackendServer&);
 
+    /** Sets what is called with a server that refuses connections after one to it was lost. */
+    void setCrashHandler(std::function<void(const BackendServer&)> handler) { m_crashHandler = std::move(handler); }
+
     /** Crashes that this instance has observed and reported. */
     uint64_t crashCount() const { return m_crashCount; }
 
@@ -58,6 +62,7 @@
     boost::asio::any_io_executor m_executor;
     PromptQuarantine& m_quarantine;
     PromptHealthListener* m_listener = nullptr;
+    std::function<void(const BackendServer&)> m_crashHandler;
     std::unordered_map<uint64_t, std::shared_ptr<Check>> m_checks; ///< By the server's hash.
 
     /** Suspects of a server that lost connections and was not seen to crash. */
--- a/modules/borageslip_traffic/servers/BackendServer.cpp
+++ b/modules/borageslip_traffic/servers/BackendServer.cpp
@@ -20,20 +20,14 @@
     , m_hash(hashBytes(m_description.id))
     , m_pool(clock, executor, m_description.address)
 {
-    setCold(m_description.coldTimeLeft);
-}
-
-void BackendServer::setCold(std::chrono::milliseconds left)
-{
-    if (left.count() > 0)
-        m_coldUntil = m_clock.now() + left;
+    m_cold.recordEntry(m_description.coldTimeLeft, m_clock.now());
 }
 
 void BackendServer::update(ServerDescription description)
 {
     m_description = std::move(description);
     m_isRemoved = false;
-    setCold(m_description.coldTimeLeft);
+    m_cold.recordEntry(m_description.coldTimeLeft, m_clock.now());
     if (m_description.isDraining)
         m_pool.closeAll();
 }
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../net/ConnectionPool.h"
+#include <borageslip_scheduling/cold/ColdState.h>
 #include <borageslip_scheduling/placement/RecentPrefixes.h>
 #include <borageslip_scheduling/servers/SendAllowance.h>
 
@@ -66,7 +67,14 @@
     void inherit(const BackendServer&);
 
     /** Whether it is still slow after its start. */
-    bool isCold(TimePoint now) const { return now < m_coldUntil; }
+    bool isCold(TimePoint now) const { return m_cold.isCold(now); }
+
+    /** Assumes that it is cold for a time from now, for example because its failure domain returns to service. */
+    void assumeColdFor(Duration time) { m_cold.assume(time, m_clock.now()); }
+
+    /** The indications that it is cold. */
+    ColdState& coldState() { return m_cold; }
+    const ColdState& coldState() const { return m_cold; }
 
     /** Whether it is temporarily ejected after failures, so that requests prefer other servers. */
     bool isEjected(TimePoint now) const { return now < m_ejectedUntil; }
@@ -138,8 +146,6 @@
 private:
     static constexpr Duration statedUsageLifetime = std::chrono::milliseconds(100); ///< A small part of the duration of a stream.
 
-    void setCold(std::chrono::milliseconds left);
-
     ServerDescription m_description;
     const Clock& m_clock;
     uint64_t m_hash;
@@ -156,7 +162,7 @@
     std::unique_ptr<RecentPrefixes> m_recentPrefixes; ///< Null until the first prefix is recorded: few instances record prefixes of a server.
     Outcomes m_outcomes;
     int m_consecutiveFailures = 0;
-    TimePoint m_coldUntil {};
+    ColdState m_cold;
     TimePoint m_ejectedUntil {};
 };
 
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -47,6 +47,8 @@
         server->inherit(*removed->second.server);
         m_removed.erase(removed);
     }
+    if (m_listingHandler)
+        m_listingHandler(*server);
     m_servers.emplace(server->description().id, server);
     m_health[server->description().service].add(server->hash());
     m_byHash.insert_or_assign(server->hash(), server);
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -28,6 +28,9 @@
     /** Sets what is called with a server of which a new start is listed, before it is replaced. */
     void setRestartHandler(std::function<void(const BackendServer&)> handler) { m_restartHandler = std::move(handler); }
 
+    /** Sets what is called with each server that is added, also with a new incarnation of a known one. */
+    void setListingHandler(std::function<void(BackendServer&)> handler) { m_listingHandler = std::move(handler); }
+
     /** Removes a backend server whose entry was missing when the store recovered from an outage, after a grace period
         and unless it is listed again by then: entries of live servers that expired during the outage return. */
     void scheduleRemoval(std::string_view id);
@@ -73,6 +76,7 @@
     const Clock& m_clock;
     boost::asio::any_io_executor m_executor;
     std::function<void(const BackendServer&)> m_restartHandler;
+    std::function<void(BackendServer&)> m_listingHandler;
     std::map<std::string, BackendServerPtr, std::less<>> m_servers;
     std::map<std::string, std::vector<BackendServerPtr>, std::less<>> m_byService;
     std::unordered_map<uint64_t, BackendServerPtr> m_byHash;
