--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -111,16 +111,21 @@
             self._end_lease(int(url.path.split("/")[3]))
             return response(200, b"{}")
         if call == "kv-txn":
-            rows = json.loads(body)["puts"]
+            document = json.loads(body)
+            rows = document["puts"]
             if self.lost_puts > 0 and any(row["lease"] for row in rows):
                 self.lost_puts -= 1
-                asyncio.get_running_loop().call_later(self.late_by, self._write, rows)
+                asyncio.get_running_loop().call_later(self.late_by, self._write, rows, document)
                 return None
-            return self._write(rows)
+            return self._write(rows, document)
         return response(404)
 
-    def _write(self, rows):
+    def _write(self, rows, document):
         self._expire()
+        if any((self.items[row["key"]]["revision"] if row["key"] in self.items else 0) != row["revision"] for row in document["expected_revision"]):
+            return response(412)
+        for key in document["remove"]:
+            self.remove(key)
         for row in rows:
             if row["lease"] and row["lease"] not in self.leases:
                 return response(404)
@@ -226,7 +231,8 @@
         self.crashes = 0
         self.is_leaving = False  # Stated in all responses, while the platform still lists it as ready.
         self.retry_after = 1.5  # Seconds; of the behaviour "paused".
-        self.arrivals = []  # Time and request id, of the behaviour "paused" and while it has a rate limit.
+        self.arrivals = []  # Time and request id, of the behaviour "paused" and while it has a rate limit or states cold_ms.
+        self.cold_ms = None  # Stated in all responses.
         self.rate_limit = None  # Text of the rate limit that it names in all responses.
         self.listener = None
         self.writers = set()
@@ -270,6 +276,9 @@
             if self.rate_limit is not None:
                 own_headers.append(("Server-Limit", self.rate_limit))
                 self.arrivals.append((asyncio.get_running_loop().time(), headers.get("x-request-id", "")))
+            if self.cold_ms is not None:
+                own_headers.append(("X-Cold-Ms", str(self.cold_ms)))
+                self.arrivals.append((asyncio.get_running_loop().time(), headers.get("x-request-id", "")))
             if self.behaviour == "paused":
                 self.arrivals.append((asyncio.get_running_loop().time(), headers.get("x-request-id", "")))
                 writer.write(response(503, headers=own_headers + [("X-Not-Executed", "1"), ("Retry-After", str(self.retry_after))]))
