Count limited servers in each case of the tests of cold servers

The check at the end of the test read the count after the cold time had passed, where 0 is right. Each case now checks the count itself.

--- a/modules/borageslip_scheduling/cold/ColdShareRights.h
+++ b/modules/borageslip_scheduling/cold/ColdShareRights.h
@@ -2,13 +2,13 @@
 
 #include <borageslip_core/time/Clock.h>
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -19,7 +19,8 @@
     std::string service;
     int index = 0;
 
-    auto operator<=>(const ColdShareId&) const = default;
+    bool operator==(const ColdShareId&) const = default;
+    bool operator<(const ColdShareId& other) const { return std::tie(service, index) < std::tie(other.service, other.index); }
 };
 
 /** The shares that this instance holds, and the permits that it issues from them.
--- a/tests/borageslip_traffic/ColdServersTests.cpp
+++ b/tests/borageslip_traffic/ColdServersTests.cpp
@@ -160,20 +160,23 @@
         pair.asker.engine.coldServers().recordUnreachable(server);
         CHECK(pair.holder.engine.coldServers().isLimited(told));
         CHECK(told.coldState().isSuspected());
+        CHECK(pair.holder.engine.coldServers().limitedCount() == 1);
     }
     SECTION("stated in a response")
     {
         pair.asker.engine.coldServers().recordResponse(server, 2s, pair.clock.now());
         CHECK(pair.holder.engine.coldServers().isLimited(told));
+        CHECK(pair.holder.engine.coldServers().limitedCount() == 1);
         pair.clock.advance(2s);
-        CHECK_FALSE(pair.holder.engine.coldServers().isLimited(told));
+        CHECK(pair.holder.engine.coldServers().limitedCount() == 0);
     }
     SECTION("assumed")
     {
         server.assumeColdFor(3s);
         CHECK(pair.asker.engine.coldServers().isLimited(server));
+        CHECK(pair.asker.engine.coldServers().limitedCount() == 1);
+        CHECK(pair.holder.engine.coldServers().limitedCount() == 0);
     }
-    CHECK(pair.asker.engine.coldServers().limitedCount() + pair.holder.engine.coldServers().limitedCount() > 0);
 }
 
 // Guards against a response to an earlier listing of a server that does not reach the present one.
