--- a/modules/borageslip_traffic/engine/AttemptState.h
+++ b/modules/borageslip_traffic/engine/AttemptState.h
@@ -11,6 +11,7 @@
 enum class AttemptResult {
     Delivered, ///< The complete response was delivered to the caller.
     Abandoned, ///< The server was evacuated before the request was written.
+    NotPermitted, ///< The backend server is cold, and there is no valid permit for the request. Nothing was sent.
     NotSent, ///< The request did not reach the intended backend server.
     NotRun, ///< The backend server reported that it did not run the request.
     Lost, ///< The request may have run, but its response is missing or incomplete.
--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -17,6 +17,7 @@
 
     using std::chrono::milliseconds;
 
+    constexpr int maxWithheldSends = 8; ///< Sends to servers that have become cold since they were chosen, after which a request fails.
     constexpr int maxUnreachableServers = 3; ///< Connection failures to backend servers after which a request fails.
 
 }
@@ -71,6 +72,7 @@
 {
     m_context->engine.recordArrival(m_context->admitted);
     int unreachable = 0;
+    int withheld = 0;
     while (!m_context->isStopped() && m_context->sendCount < m_context->route().maxAttempts && unreachable < maxUnreachableServers && !m_context->isQuarantined() && !m_context->isTooLateToStart()) {
         m_context->setPhase(RequestPhase::Waiting);
         detail::ReservationWait wait(*m_context);
@@ -97,6 +99,10 @@
             m_context->hasReservedRetry = m_context->repeatsAbandoned = m_context->sendCount > 0;
             continue;
         }
+        if (result == detail::AttemptResult::NotPermitted && ++withheld < maxWithheldSends)
+            continue;
+        if (result == detail::AttemptResult::NotPermitted)
+            break;
         if (result == detail::AttemptResult::NotSent) {
             ++unreachable;
             continue;
--- a/modules/borageslip_traffic/engine/ReservationWait.cpp
+++ b/modules/borageslip_traffic/engine/ReservationWait.cpp
@@ -91,13 +91,13 @@
     return std::max(milliseconds(0), std::min(prefixWait(), objectiveLeft / prefixWaitDivisor));
 }
 
-asio::awaitable<ReservationResult> ReservationWait::requestReservation(BackendServer& server, milliseconds waitWithin)
+asio::awaitable<ReservationResult> ReservationWait::requestReservation(BackendServer& server, Waits waits)
 {
     const auto prefix = TrafficEngine::sharedPrefix(m_context.admitted);
     auto* broker = m_context.engine.reservationBroker();
     if (broker == nullptr)
         co_return ReservationResult { ReservationOutcome::Granted, prefix.hash != 0 && server.recordPrefix(prefix.hash) };
-    const ReservationDemand demand { m_context.engine.reservationLimits(server, m_context.admitted), prefix, m_context.promptTokens(), m_context.admitted.requestPriority(), waitWithin, prefillWait() };
+    const ReservationDemand demand { m_context.engine.reservationLimits(server, m_context.admitted), prefix, m_context.promptTokens(), m_context.admitted.requestPriority(), waits.forSlot, waits.forPrefill };
     co_return co_await broker->requestReservation(server, demand);
 }
 
@@ -105,14 +105,20 @@
 {
     auto excluded = m_context.triedServers;
     for (int denials = 0; denials < maxDenials && !m_context.isStopped(); ++denials) {
-        const auto [server, reason] = m_context.engine.choose(m_context.admitted, excluded);
-        if (!server)
+        const auto [chosen, reason] = m_context.engine.choose(m_context.admitted, excluded);
+        if (!chosen)
             break;
         m_context.choiceReason = reason;
+        const auto [server, permit] = co_await awaitPermit(chosen, excluded);
+        if (!server)
+            continue;
         auto reservation = std::make_shared<ServerReservation>(m_context.engine, server, m_context.promptTokens());
-        const bool waits = prefixWaits == PrefixWait::Allowed && reason == ChoiceReason::Affinity;
-        const auto waitWithin = waits ? prefixWait() : milliseconds(0);
-        const auto result = co_await requestReservation(*server, waitWithin);
+        const bool waitsForSlot = prefixWaits == PrefixWait::Allowed && reason == ChoiceReason::Affinity;
+        Waits waits;
+        // A permit for a cold server would expire during a wait.
+        if (!permit)
+            waits = { waitsForSlot ? prefixWait() : milliseconds(0), prefillWait() };
+        const auto result = co_await requestReservation(*server, waits);
         // If the granting instance does not respond, proceed anyway: according to the local load data the server has
         // capacity.
         if (result.outcome != ReservationOutcome::Denied) {
@@ -121,6 +127,7 @@
             reservation->confirm();
             if (result.outcome == ReservationOutcome::Granted && !result.isPrefixCached)
                 reservation->beginPrefill(sharedPrefill());
+            reservation->setColdPermit(permit);
             co_return reservation;
         }
         excluded.push_back(server->hash());
@@ -128,6 +135,21 @@
     co_return nullptr;
 }
 
+asio::awaitable<ReservationWait::PermittedServer> ReservationWait::awaitPermit(BackendServerPtr server, std::vector<uint64_t>& excluded)
+{
+    auto& coldServers = m_context.engine.coldServers();
+    if (!coldServers.isLimited(*server))
+        co_return PermittedServer { server };
+    auto permit = co_await coldServers.requestPermit(*server, excluded);
+    if (permit)
+        server = m_context.engine.servers().find(permit->server);
+    if (permit && server)
+        co_return PermittedServer { server, permit };
+    const auto cold = coldServers.limitedServers(m_context.admitted.service);
+    excluded.insert(excluded.end(), cold.begin(), cold.end());
+    co_return PermittedServer {};
+}
+
 QueuedRequest ReservationWait::queuedRequest() const
 {
     // Callers choose their request ids, and a duplicate may arrive while the first request is still queued.
@@ -221,11 +243,24 @@
                 ticket->useWithoutGrant(server->hash());
         }
         const bool isUsable = server && server->acceptsRequests();
-        if (isUsable && !m_context.isStopped()) {
+        auto& coldServers = m_context.engine.coldServers();
+        const bool needsPermit = isUsable && coldServers.isLimited(*server);
+        std::optional<ColdPermit> permit;
+        if (needsPermit)
+            permit = co_await coldServers.requestPermit(*server);
+        const bool isPermitted = !needsPermit || permit;
+        if (isUsable && isPermitted && !m_context.isStopped()) {
             m_context.recordWait(queuedAt);
             auto reservation = std::make_shared<ServerReservation>(m_context.engine, server, 0, std::move(ticket));
+            reservation->setColdPermit(permit);
             co_return reservation;
         }
+        if (!isPermitted) {
+            // The next ticket is for a warm server.
+            const auto cold = coldServers.limitedServers(m_context.admitted.service);
+            demand.excluded.insert(demand.excluded.end(), cold.begin(), cold.end());
+            continue;
+        }
         if (ticket->outcome() != SlotTicket::Outcome::Granted) {
             m_context.recordWait(queuedAt);
             co_return rejectionError(*ticket);
--- a/modules/borageslip_traffic/engine/ResponseReceiver.cpp
+++ b/modules/borageslip_traffic/engine/ResponseReceiver.cpp
@@ -67,6 +67,8 @@
             continue;
         }
         applyRateLimit(metadata);
+        if (!metadata.isMisdirected)
+            m_context.engine.coldServers().recordResponse(*m_state.server, metadata.coldTimeLeft, m_state.sentAt);
         if (metadata.isEncoded)
             co_return m_state.handleLostResponse("response has a content encoding");
         if (metadata.isMisdirected)
--- a/modules/borageslip_traffic/engine/ServerAttempt.cpp
+++ b/modules/borageslip_traffic/engine/ServerAttempt.cpp
@@ -45,6 +45,7 @@
             co_return abandon(*server);
         if (!isOk(connected)) {
             server->recordUnreachable();
+            m_context.engine.coldServers().recordUnreachable(*server);
             m_context.lastError = error(connected);
             logEvent(Severity::Warning, "server-unreachable", { { "request", m_context.metadata.requestId }, { "server", server->description().id }, { "detail", m_context.lastError.detail } });
             co_return AttemptResult::NotSent;
@@ -62,6 +63,8 @@
     // The request may have waited since the last check.
     if (m_context.isQuarantined() || m_context.isTooLateToStart())
         co_return AttemptResult::NotSent;
+    if (!m_context.engine.coldServers().maySend(*server, state.reservation->coldPermit()))
+        co_return withhold(state);
     m_context.activeConnection = state.connection;
     const auto result = co_await send(state);
     m_context.activeConnection = nullptr;
@@ -80,6 +83,20 @@
     return AttemptResult::Abandoned;
 }
 
+AttemptResult ServerAttempt::withhold(AttemptState& state)
+{
+    state.server->pool().returnConnection(state.connection);
+    // The server may be chosen again as soon as there is a permit for it.
+    m_context.triedServers.pop_back();
+    if (m_context.sendCount > 0) {
+        m_context.hasReservedRetry = true;
+        --m_context.engine.counts().retries;
+    } else {
+        m_context.lastError = { ErrorKind::Overloaded, "the backend server is cold and gets no further request at present" };
+    }
+    return AttemptResult::NotPermitted;
+}
+
 std::string ServerAttempt::forwardedHead(const BackendServer& server) const
 {
     HttpRequest outgoing;
--- a/modules/borageslip_traffic/engine/ServerAttempt.h
+++ b/modules/borageslip_traffic/engine/ServerAttempt.h
@@ -17,6 +17,9 @@
 private:
     boost::asio::awaitable<AttemptResult> send(AttemptState&);
 
+    /** Undoes the attempt at a cold backend server for which there is no valid permit, before anything was sent. */
+    AttemptResult withhold(AttemptState&);
+
     /** Reports the request as a suspect if the server has crashed before its response was complete. */
     boost::asio::awaitable<void> checkForCrash(const AttemptState&);
     AttemptResult abandon(const BackendServer&);
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -10,6 +10,7 @@
 #include "../quarantine/CrashDetector.h"
 #include "../quarantine/PromptQuarantine.h"
 #include "../servers/EvacuationControl.h"
+#include "../servers/ColdServers.h"
 #include "../servers/ServerTable.h"
 #include <borageslip_scheduling/limits/FleetRetryBudget.h>
 #include <borageslip_scheduling/limits/MemoryBudget.h>
@@ -40,6 +41,7 @@
     std::optional<Duration> maxConfigurationAge {};
     /** The failure domains that may be evacuated; absent if evacuation is disabled. */
     std::optional<Evacuations::DomainSet> evacuableDomains {};
+    ColdBoundSettings coldBound {};
     size_t bufferBytes = 32 * 1024 * 1024; ///< Limit of the budget for the buffers of all connections, @see MemoryBudget.
 };
 
@@ -193,6 +195,8 @@
 
     ServerTable& servers() { return m_servers; }
     EvacuationControl& evacuation() { return m_evacuation; }
+    ColdServers& coldServers() { return m_coldServers; }
+    const ColdServers& coldServers() const { return m_coldServers; }
     PromptQuarantine& quarantine() { return m_quarantine; }
     CrashDetector& crashDetector() { return m_crashDetector; }
 
@@ -246,8 +250,10 @@
     std::optional<StopSchedule> m_stop;
     bool m_othersAcceptCallers = true;
     MemoryBudget m_memory;
+    TrafficCounts m_counts;
     ServerTable m_servers;
     EvacuationControl m_evacuation;
+    ColdServers m_coldServers;
     PromptQuarantine m_quarantine;
     CrashDetector m_crashDetector;
     PromptHealthListener* m_promptHealthListener = nullptr;
@@ -256,7 +262,6 @@
     std::vector<BackendServerPtr> m_candidateServers;
     size_t m_instanceCount = 1;
     ReservationBroker* m_reservationBroker = nullptr;
-    TrafficCounts m_counts;
     uint64_t m_sequenceNumber = 0;
     std::minstd_rand m_random { std::random_device {}() };
     std::array<char, scratchBytes> m_scratch {};
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -44,6 +44,7 @@
     , m_grants(engine, m_reportTable, *this, m_ownName)
     , m_requests(engine, *this, m_grants, m_ownName, m_incarnation)
     , m_coordination(engine.clock(), *this, m_ownName, m_incarnation, engine.choiceLimits().capFactor)
+    , m_coldPermits(engine, *this, m_ownName)
 {
     m_engine.setReservationBroker(this);
     m_engine.setPromptHealthListener(this);
@@ -219,6 +220,8 @@
             receiveConfigurationNotice(content, sender);
         else if constexpr (std::is_same_v<Content, RateLimitsNotice>)
             recordRateLimits(content.limits);
+        else if constexpr (std::is_same_v<Content, ColdPermitRequest> || std::is_same_v<Content, ColdPermitReply> || std::is_same_v<Content, ColdServerNotice>)
+            m_coldPermits.receive(content, sender);
         else
             receiveCoordination(content, sender);
     },
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -3,6 +3,7 @@
 #include "../configuration/ConfigurationRefresh.h"
 #include "../engine/TrafficEngine.h"
 #include "../net/AutoResetEvent.h"
+#include "ColdPermits.h"
 #include "Member.h"
 #include "PeerReportTable.h"
 #include "ReservationGrants.h"
@@ -30,7 +31,7 @@
 
     The report interval grows with the number of members, so that the rate of datagrams that an instance sends and
     receives does not depend on the size of the fleet. Not thread-safe: call it from the event loop that owns it. */
-class PeerLink final : public ReservationBroker, private CoordinationHost, private ReservationHost, private PromptHealthListener {
+class PeerLink final : public ReservationBroker, private CoordinationHost, private ReservationHost, private PromptHealthListener, private ColdPermits::Transport {
 public:
     /** @param ownCapacity network capacity of this instance in Mbit/s; 0 when unknown. */
     PeerLink(TrafficEngine&, std::string ownName, double ownCapacity = 0);
@@ -85,6 +86,10 @@
         @see rankedStoreSources */
     std::vector<StoreSource> storeSources(const Member& own) const;
 
+    /** Permits for cold servers. */
+    ColdPermits& coldPermits() { return m_coldPermits; }
+    const ColdPermits& coldPermits() const { return m_coldPermits; }
+
     size_t livePeerCount() const { return m_reportTable.livePeerCount(m_engine.clock().now()); }
     Duration oldestReportAge() const { return m_reportTable.maxReportAge(m_engine.clock().now()); }
     size_t memberCount() const { return m_members.size(); }
@@ -150,6 +155,13 @@
     void serverCrashed(const ServerCrash&) override;
     void partsCleared(const PromptFingerprint&) override;
 
+    void sendDatagram(std::span<const uint8_t> bytes, const boost::asio::ip::udp::endpoint& to) override
+    {
+        if (m_socket.is_open())
+            send(bytes, to);
+    }
+    void sendDatagramToAll(std::span<const uint8_t> bytes) override { sendToAll(bytes); }
+
     bool isOpen() const override { return m_socket.is_open(); }
     bool acceptsCallers() const override { return m_acceptsCallers; }
     std::vector<ReservationPeer> reservationPeers() const override;
@@ -176,6 +188,7 @@
     ReservationGrants m_grants;
     ReservationRequests m_requests;
     ServiceCoordination m_coordination;
+    ColdPermits m_coldPermits;
 };
 
 }
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../net/ConnectionPool.h"
+#include <borageslip_scheduling/cold/ColdState.h>
 #include <borageslip_scheduling/placement/RecentPrefixes.h>
 #include <borageslip_scheduling/servers/SendAllowance.h>
 
@@ -70,10 +71,14 @@
     void inherit(const BackendServer&);
 
     /** Whether it is still slow after its start. */
-    bool isCold(TimePoint now) const { return now < m_coldUntil; }
+    bool isCold(TimePoint now) const { return m_cold.isCold(now); }
 
-    /** Assumes that it is cold for at least a time, from now on. */
-    void assumeColdFor(Duration duration) { m_coldUntil = std::max<TimePoint>(m_coldUntil, m_clock.now() + duration); }
+    /** Assumes that it is cold for a time from now, for example because its failure domain returns to service. */
+    void assumeColdFor(Duration time) { m_cold.assume(time, m_clock.now()); }
+
+    /** The indications that it is cold. */
+    ColdState& coldState() { return m_cold; }
+    const ColdState& coldState() const { return m_cold; }
 
     /** Whether it is temporarily ejected after failures, so that requests prefer other servers. */
     bool isEjected(TimePoint now) const { return now < m_ejectedUntil; }
@@ -148,8 +153,6 @@
 private:
     static constexpr Duration statedUsageLifetime = std::chrono::milliseconds(100); ///< A small part of the duration of a stream.
 
-    void setCold(std::chrono::milliseconds left);
-
     ServerDescription m_description;
     const Clock& m_clock;
     uint64_t m_hash;
@@ -167,7 +170,7 @@
     std::unique_ptr<RecentPrefixes> m_recentPrefixes; ///< Null until the first prefix is recorded: few instances record prefixes of a server.
     Outcomes m_outcomes;
     int m_consecutiveFailures = 0;
-    TimePoint m_coldUntil {};
+    ColdState m_cold;
     TimePoint m_ejectedUntil {};
 };
 
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -48,6 +48,8 @@
         m_removed.erase(removed);
     }
     server->setEvacuated(isEvacuated(server->description()));
+    if (m_listingHandler)
+        m_listingHandler(*server);
     m_servers.emplace(server->description().id, server);
     m_health[server->description().service].add(server->hash());
     m_byHash.insert_or_assign(server->hash(), server);
