Decide by the era of the store what its responses are worth

A store that comes back from an older copy issues revisions and lease numbers again, so a revision alone orders nothing.

--- a/modules/borageslip_scheduling/borageslip_scheduling.h
+++ b/modules/borageslip_scheduling/borageslip_scheduling.h
@@ -26,3 +26,4 @@
 #include "servers/SendAllowance.h"
 #include "servers/ServerHealth.h"
 #include "stop/StopSchedule.h"
+#include "store/StoreEraOrder.h"
