Hold back server entries that come back with an older copy of the store

An entry of the copy may be from before a drain or a new start. Entries of a server are ordered by born, sequence and drain state: an older one, or the last one of a removed server, takes effect after the grace period of missing entries, unless the server writes again. A second return restarts the periods. Members that come back with the copy get no callers before they are heard, and announced configuration versions are forgotten until an instance announces them again.

Nothing calls this yet; without calls the behaviour is unchanged.

--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
@@ -55,6 +55,14 @@
     trackAwaited({ versionInForce }, now);
 }
 
+void ConfigurationRefresh::forgetAnnouncements()
+{
+    m_announcers.clear();
+    m_newestAnnounced = 0;
+    m_awaitedVersion = 0;
+    m_failedRounds = 0;
+}
+
 void ConfigurationRefresh::trackAwaited(const ConfigurationKnowledge& knowledge, TimePoint now)
 {
     // While versions come in quick succession, the polls that bring some of them suffice.
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
@@ -56,6 +56,10 @@
     /** Records that an instance has a version in force. */
     void recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now);
 
+    /** Forgets what the instances have announced, because the store came back from an older copy that may lack those
+        versions. Instances that still have them in force announce them again in their reports. */
+    void forgetAnnouncements();
+
     /** The newest version that another instance has announced. */
     uint64_t newestAnnounced() const { return m_newestAnnounced; }
 
--- a/modules/borageslip_traffic/peers/Member.h
+++ b/modules/borageslip_traffic/peers/Member.h
@@ -18,4 +18,10 @@
     bool operator==(const Member&) const = default;
 };
 
+/** How an instance learned of a member. */
+enum class MemberListing {
+    Written, ///< The member has registered itself.
+    Restored, ///< The record came back with an older copy of the store; the member may have ended long ago.
+};
+
 }
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -90,7 +90,7 @@
     return std::max<Duration>(minReportInterval, reportIntervalPerMember * m_members.size());
 }
 
-void PeerLink::setMember(Member member)
+void PeerLink::setMember(Member member, MemberListing listing)
 {
     if (member.name == m_ownName)
         return;
@@ -101,7 +101,7 @@
     }
     logEvent(Severity::Info, "member-listed", { { "member", member.name } });
     const auto name = member.name;
-    m_members[name] = { std::move(member), m_engine.clock().now() };
+    m_members[name] = { std::move(member), listing == MemberListing::Written ? m_engine.clock().now() : TimePoint() };
     m_coordinators.clear();
     m_reportTable.setLifetime(std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
     m_engine.setInstanceCount(m_members.size() + 1);
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -42,8 +42,8 @@
         cannot be bound. */
     Status open(const boost::asio::ip::udp::endpoint&);
 
-    /** Adds or updates a member; the own instance is ignored. */
-    void setMember(Member);
+    /** Adds or updates a member; the own instance is ignored. A restored one gets no callers before it is heard. */
+    void setMember(Member, MemberListing = MemberListing::Written);
 
     /** Removes a member that the store no longer lists. One that is still heard and accepts callers is removed when its
         messages end: the store may reject it, so that its lease expires while it serves callers. */
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -23,6 +23,7 @@
     bool isDraining = false; ///< Whether it gets no new requests.
     std::chrono::milliseconds coldTimeLeft { 0 }; ///< Remaining time in which it is slow after its start.
     int64_t startedAtMs = 0; ///< Unix time of its start; a different one under the same id is a new incarnation.
+    uint64_t sequence = 0; ///< Rises with each entry that one incarnation writes; 0 if it does not count them.
 
     bool operator==(const ServerDescription&) const = default;
 };
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr Duration removedLifetime = std::chrono::minutes(10); ///< For which a removed server is remembered.
+    constexpr Duration lastEntryLifetime = std::chrono::minutes(1); ///< For which the entry of a removed server is remembered; copies of the store are seconds old.
     constexpr Duration removalGracePeriod = std::chrono::seconds(2); ///< Entries of live servers that expired during an outage of the store return within about this time.
 
 }
@@ -22,6 +23,7 @@
 void ServerTable::apply(ServerDescription description)
 {
     m_removalTimes.erase(description.id);
+    m_heldEntries.erase(description.id);
     const auto found = m_servers.find(description.id);
     if (found == m_servers.end()) {
         add(std::move(description));
@@ -55,12 +57,14 @@
 
 void ServerTable::remove(std::string_view id)
 {
+    m_heldEntries.erase(std::string(id));
     const auto found = m_servers.find(id);
     if (found == m_servers.end())
         return;
     const auto server = found->second;
     logEvent(Severity::Info, "server-removed", { { "server", id } });
     m_removalTimes.erase(std::string(id));
+    m_lastEntries.insert_or_assign(std::string(id), LastEntry { versionOf(server->description()), m_clock.now() });
     server->remove();
     rememberRemoved(server);
     m_health[server->description().service].remove(server->hash());
@@ -95,10 +99,67 @@
 
 void ServerTable::scheduleRemoval(std::string_view id)
 {
+    m_heldEntries.erase(std::string(id));
     if (m_servers.find(id) != m_servers.end())
         m_removalTimes.try_emplace(std::string(id), m_clock.now() + removalGracePeriod);
 }
 
+EntryVersion ServerTable::versionOf(const ServerDescription& description)
+{
+    return { description.startedAtMs, description.sequence, description.isDraining };
+}
+
+std::optional<EntryVersion> ServerTable::knownVersion(const std::string& id) const
+{
+    if (const auto listed = m_servers.find(id); listed != m_servers.end())
+        return versionOf(listed->second->description());
+    if (const auto removed = m_lastEntries.find(id); removed != m_lastEntries.end())
+        return removed->second.version;
+    return std::nullopt;
+}
+
+void ServerTable::applyRestored(ServerDescription description)
+{
+    const auto known = knownVersion(description.id);
+    const auto version = versionOf(description);
+    // A removed server whose last entry comes back has not written it again.
+    const bool isListed = m_servers.contains(description.id);
+    const bool isOlder = known && (isListed ? isOlderEntry(version, *known) : !isOlderEntry(*known, version));
+    if (!isOlder) {
+        apply(std::move(description));
+        return;
+    }
+    logEvent(Severity::Info, "server-entry-held", { { "server", description.id }, { "sequence", description.sequence }, { "known_sequence", known->sequence } });
+    m_removalTimes.erase(description.id);
+    const auto id = description.id;
+    m_heldEntries.insert_or_assign(id, HeldEntry { std::move(description), m_clock.now() + removalGracePeriod });
+}
+
+void ServerTable::applyHeld()
+{
+    const auto now = m_clock.now();
+    std::vector<ServerDescription> due;
+    for (const auto& [id, held] : m_heldEntries) {
+        if (now >= held.appliesAt)
+            due.push_back(held.description);
+    }
+    for (auto& description : due) {
+        // The return of an earlier run is not a new start, which would count as a crash.
+        if (const auto listed = m_servers.find(description.id); listed != m_servers.end() && description.startedAtMs < listed->second->description().startedAtMs)
+            remove(description.id);
+        apply(std::move(description));
+    }
+}
+
+void ServerTable::restartGracePeriods()
+{
+    const auto until = m_clock.now() + removalGracePeriod;
+    for (auto& [id, removalTime] : m_removalTimes)
+        removalTime = until;
+    for (auto& [id, held] : m_heldEntries)
+        held.appliesAt = until;
+}
+
 void ServerTable::removeExpired()
 {
     const auto now = m_clock.now();
@@ -165,11 +226,13 @@
 {
     const auto now = m_clock.now();
     std::erase_if(m_removed, [&](const auto& entry) { return now - entry.second.removedAt >= removedLifetime; });
+    std::erase_if(m_lastEntries, [&](const auto& entry) { return now - entry.second.removedAt >= lastEntryLifetime; });
 }
 
 void ServerTable::maintain()
 {
     removeExpired();
+    applyHeld();
     forgetRemoved();
     evaluateHealth();
     for (const auto& [id, server] : m_servers)
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -3,9 +3,11 @@
 #include "../peers/PeerReport.h"
 #include "BackendServer.h"
 #include <borageslip_scheduling/servers/ServerHealth.h>
+#include <borageslip_scheduling/store/StoreEraOrder.h>
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -32,6 +34,14 @@
         and unless it is listed again by then: entries of live servers that expired during the outage return. */
     void scheduleRemoval(std::string_view id);
 
+    /** Applies an entry that came back with an older copy of the store. If it is older than the last known one, it takes
+        effect after the grace period of removals, unless another entry is applied by then: the server writes its newer entry
+        again if it is still running. */
+    void applyRestored(ServerDescription);
+
+    /** Lets the grace periods begin again, because the servers could not write their entries. */
+    void restartGracePeriods();
+
     /** Carries out due removals, evaluates the health of the servers and closes stale idle connections. Should be
         called about once a second. */
     void maintain();
@@ -64,6 +74,23 @@
         TimePoint removedAt {};
     };
 
+    /** An older entry that takes effect later. */
+    struct HeldEntry {
+        ServerDescription description;
+        TimePoint appliesAt {};
+    };
+
+    /** The last entry of a server that is no longer listed. */
+    struct LastEntry {
+        EntryVersion version;
+        TimePoint removedAt {};
+    };
+
+    static EntryVersion versionOf(const ServerDescription&);
+
+    /** Nothing for a server that was never listed, or not for long. */
+    std::optional<EntryVersion> knownVersion(const std::string& id) const;
+    void applyHeld();
     void add(ServerDescription);
     void rememberRemoved(const BackendServerPtr&);
     void removeExpired();
@@ -78,6 +105,8 @@
     std::unordered_map<uint64_t, BackendServerPtr> m_byHash;
     std::map<std::string, ServerHealth, std::less<>> m_health;
     std::map<std::string, RemovedServer, std::less<>> m_removed; ///< By id; the platform may list them again.
+    std::map<std::string, HeldEntry, std::less<>> m_heldEntries; ///< By server id.
+    std::map<std::string, LastEntry, std::less<>> m_lastEntries; ///< Of removed servers, by id.
     std::map<std::string, TimePoint, std::less<>> m_removalTimes; ///< Due times of scheduled removals, by server id.
 };
 
