Order what instances read from the store by its era

Cause: StoreCache kept what has the same or a later revision. When the store came back from a copy, revisions were issued again and changes were ignored until they exceeded the old ones.

Change: StoreClient reads Store-Era of each response, StoreEras notifies of a rise. The cache holds one era and is replaced as a whole; responses of an instance state the era of the keys that it serves. A follower waits 2 s for a source that has not noticed the change, so that only the readers read all keys. Missing keys may return, an older configuration of the copy does not replace the one in force, and a lease of an earlier era is neither renewed nor ended. Without the header nothing changes.

Tests: store_restore_test plays the drill with six instances against RestorableStore, an extension of the stand-in.

--- a/tests/platform/StoreCacheTests.cpp
+++ b/tests/platform/StoreCacheTests.cpp
@@ -44,6 +44,113 @@
     CHECK(cache.items().empty());
 }
 
+namespace {
+
+StoreItem itemOf(uint64_t era, std::string key, std::string bytes, uint64_t revision)
+{
+    StoreItem item { std::move(key), std::move(bytes), revision };
+    item.era = era;
+    return item;
+}
+
+StoreItem removalOf(uint64_t era, std::string key, uint64_t revision)
+{
+    auto item = itemOf(era, std::move(key), {}, revision);
+    item.isDeleted = true;
+    return item;
+}
+
+bool isNeverNewer(std::string_view, std::string_view, std::string_view)
+{
+    return false;
+}
+
+}
+
+// Guards against changes after the store's return that are dropped because their revisions were issued before, and against a
+// response of the old era that arrives late and replaces what was written in the new one.
+TEST_CASE("the store cache replaces its keys by those of a newer era, whatever their revisions")
+{
+    StoreCache cache(1);
+    cache.apply(itemOf(1, "same", "1", 100));
+    cache.apply(itemOf(1, "changed", "old", 101));
+    cache.apply(itemOf(1, "rewritten", "new", 102));
+    cache.setAsOf(110);
+    const auto changes = cache.replace({ 2, 60 }, { itemOf(2, "same", "1", 50), itemOf(2, "changed", "new", 55), itemOf(2, "rewritten", "new", 57), itemOf(2, "added", "x", 56) }, isNeverNewer);
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].key == "changed");
+    CHECK(changes[1].key == "added");
+    CHECK(cache.era() == 2);
+    CHECK(cache.asOf() == 60);
+    CHECK_FALSE(cache.apply(itemOf(1, "changed", "old", 101)));
+    CHECK_FALSE(cache.isOutdatedBy(itemOf(1, "changed", "old", 101)));
+    CHECK(cache.isOutdatedBy(itemOf(3, "changed", "newer", 2)));
+    CHECK(cache.apply(itemOf(2, "changed", "newer", 61)));
+    CHECK(cache.changesAfter(60)->size() == 1);
+    CHECK(cache.changesAfter(0)->size() == 4);
+}
+
+// Guards against servers and evacuations that are dropped at once because the copy lacks keys that their owners are about to
+// write again, also in a second drill, and against keys that were removed and come back with the copy without being reported.
+TEST_CASE("a key that is missing in a newer era may return, and one that comes back is reported")
+{
+    StoreCache cache(1);
+    cache.apply(itemOf(1, "lost", "1", 100));
+    cache.apply(itemOf(1, "kept", "1", 101));
+    cache.apply(itemOf(1, "removed", "1", 102));
+    cache.apply(removalOf(1, "removed", 103));
+    auto changes = cache.replace({ 2, 60 }, { itemOf(2, "kept", "1", 50), itemOf(2, "removed", "1", 51) }, isNeverNewer);
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].key == "removed");
+    CHECK_FALSE(changes[0].isDeleted);
+    CHECK(changes[1].key == "lost");
+    CHECK(changes[1].isDeleted);
+    CHECK(changes[1].mayReturn);
+    // Instances that follow this one learn the same.
+    CHECK(cache.changesAfter(59)->front().mayReturn);
+    CHECK(cache.apply(itemOf(2, "lost", "1", 61)));
+    changes = cache.replace({ 3, 60 }, { itemOf(3, "kept", "1", 50) }, isNeverNewer);
+    REQUIRE(changes.size() == 2);
+    CHECK((changes[0].key == "lost" && changes[0].mayReturn));
+    CHECK((changes[1].key == "removed" && changes[1].mayReturn));
+}
+
+// Guards against an older configuration of the copy that instances take from others, although a newer one is in force.
+TEST_CASE("a known value that is newer by its content is kept and served to other instances")
+{
+    StoreCache cache(1);
+    cache.apply(itemOf(1, "op/config", "8", 100));
+    cache.apply(itemOf(1, "other", "8", 101));
+    const auto isNewer = [](std::string_view key, std::string_view known, std::string_view restored) { return key == "op/config" && known > restored; };
+    const auto changes = cache.replace({ 2, 60 }, { itemOf(2, "op/config", "7", 50), itemOf(2, "other", "7", 51) }, isNewer);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].key == "other");
+    CHECK(cache.find("op/config")->bytes == "8");
+    CHECK(cache.find("op/config")->position() == StorePosition { 2, 50 });
+    CHECK(cache.apply(itemOf(2, "op/config", "9", 61)));
+}
+
+// Guards against an instance that takes the keys of another era, served by a reader that has or has not noticed the change,
+// for changes of its own ones.
+TEST_CASE("a response from the store cache states the era of its keys, and no changes of another era are served")
+{
+    StoreCache cache(2);
+    cache.apply(itemOf(2, "a", "1", 5));
+    cache.setAsOf(6);
+    const auto eraOf = [](const StatusResponse& response) { return response.fields.empty() ? "" : response.fields.front().first + " " + response.fields.front().second; };
+    for (const auto* target : { "/borageslip/kv-watch?path_prefix=&after=2&era=2", "/borageslip/kv-watch?path_prefix=&after=2", "/borageslip/kv-watch?path_prefix=op/config&after=2&era=2", "/borageslip/kv-range?path_prefix=" }) {
+        const auto response = respondFromCache(cache, CacheAges(), target);
+        CHECK(response.status == 200);
+        CHECK(eraOf(response) == "Store-Era 2");
+    }
+    for (const auto* target : { "/borageslip/kv-watch?path_prefix=&after=2&era=1", "/borageslip/kv-watch?path_prefix=&after=2&era=3", "/borageslip/kv-watch?path_prefix=op/config&after=2&era=1" }) {
+        const auto response = respondFromCache(cache, CacheAges(), target);
+        CHECK(response.status == 410);
+        CHECK(eraOf(response) == "Store-Era 2");
+    }
+    CHECK(respondFromCache(StoreCache(), CacheAges(), "/borageslip/kv-watch?path_prefix=&after=2").fields.empty());
+}
+
 // Guards against a watcher that treats outdated data as confirmed by the store.
 TEST_CASE("a response from the store cache states its age, and malformed requests get an error status")
 {
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -37,6 +37,7 @@
     """Key-value store with revisions, a change history for watches, and leases."""
 
     def __init__(self):
+        self.era = 0  # Stated in all answers once it is not 0.
         self.items = {}
         self.history = []
         self.revision = 10
@@ -60,8 +61,8 @@
         if key not in self.items:
             return
         self.revision += 1
-        del self.items[key]
-        self._record({"key": key, "revision": self.revision, "deleted": True})
+        had_lease = bool(self.items.pop(key)["lease"])
+        self._record({"key": key, "revision": self.revision, "deleted": True, **({"had_lease": True} if had_lease else {})})
 
     def put_json(self, key, document):
         self.put(key, json.dumps(document).encode())
@@ -132,7 +133,8 @@
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             self._expire()
-            if after < self.oldest_revision:
+            is_unknown = self.era and after > self.revision
+            if after < self.oldest_revision or is_unknown:
                 return response(410)
             events = [event for event in self.history if event["revision"] > after and event["key"].startswith(query["path_prefix"])]
             remaining = deadline - time.monotonic()
@@ -147,7 +149,18 @@
         """Serves connections that fail as `rejection_mode` says: "busy", "silent", or None for normal service."""
         await self.serve(reader, writer, lambda: self.rejection_mode)
 
-    async def serve(self, reader, writer, rejection_mode=lambda: None):
+    def begin_call(self, instance, line):
+        """Called before each call. @see RestorableStore"""
+
+    def end_call(self, instance, call, answer):
+        """Returns the answer to send."""
+        return answer
+
+    async def serve_instance(self, instance, reader, writer):
+        """Serves the connections of one instance, whose calls are checked."""
+        await self.serve(reader, writer, instance=instance)
+
+    async def serve(self, reader, writer, rejection_mode=lambda: None, instance=None):
         while True:
             message = await read_message(reader)
             if message is None:
@@ -165,11 +178,12 @@
                 while self.is_down:
                     await asyncio.sleep(0.05)
                 break
+            self.begin_call(instance, message[0])
             answer = await self.answer(message[0], message[2])
             if answer is None:  # A connection on which an answer is lost returns nothing further.
                 await reader.read()
                 break
-            writer.write(answer)
+            writer.write(self.end_call(instance, name, answer))
             await writer.drain()
         writer.close()
 
