--- a/modules/borageslip_scheduling/servers/Evacuations.cpp
+++ b/modules/borageslip_scheduling/servers/Evacuations.cpp
@@ -49,6 +49,12 @@
         m_scheduledEnds.try_emplace(std::string(domain), at);
 }
 
+void Evacuations::rescheduleEnds(TimePoint at)
+{
+    for (auto& [domain, scheduled] : m_scheduledEnds)
+        scheduled = at;
+}
+
 std::vector<std::string> Evacuations::endDue(TimePoint now)
 {
     std::vector<std::string> due;
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
@@ -66,6 +66,10 @@
     /** Forgets the announced changes of the evacuations: the store has gone back to a revision before them. */
     void forgetEvacuations();
 
+    /** Forgets what the instances have announced, because the store came back from an older copy that may lack those
+        versions. Instances that still have them in force announce them again in their reports. */
+    void forgetAnnouncements();
+
     /** The newest version that another instance has announced. */
     uint64_t newestAnnounced() const { return m_newestAnnounced; }
 
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -9,8 +9,8 @@
 #include "../protocol/CallerProtocol.h"
 #include "../quarantine/CrashDetector.h"
 #include "../quarantine/PromptQuarantine.h"
-#include "../servers/EvacuationControl.h"
 #include "../servers/ColdServers.h"
+#include "../servers/EvacuationControl.h"
 #include "../servers/ServerTable.h"
 #include <borageslip_scheduling/limits/FleetRetryBudget.h>
 #include <borageslip_scheduling/limits/MemoryBudget.h>
--- a/modules/borageslip_traffic/servers/EvacuationControl.cpp
+++ b/modules/borageslip_traffic/servers/EvacuationControl.cpp
@@ -55,6 +55,12 @@
         applyChange("evacuation-ended", domain);
 }
 
+void EvacuationControl::restartGracePeriods()
+{
+    if (m_evacuations)
+        m_evacuations->rescheduleEnds(m_clock.now() + ServerTable::removalGracePeriod);
+}
+
 void EvacuationControl::maintain()
 {
     if (!m_evacuations)
--- a/modules/borageslip_traffic/servers/EvacuationControl.h
+++ b/modules/borageslip_traffic/servers/EvacuationControl.h
@@ -44,6 +44,9 @@
                            store may have had an outage that was not noticed as such. */
     void end(std::string_view domain, Removal, Duration knowledgeAge);
 
+    /** Lets the times for which missing keys are kept begin again, because operators could not write them until now. */
+    void restartGracePeriods();
+
     /** Ends evacuations whose key did not return after an outage. Should be called about once a second. */
     void maintain();
 
