Count invalid and cut-off responses as lost

Cause: a status such as 000 or 600 reached callers as the status of their response. A reset while a request is being written could look like the clean end of a response without a length: the write takes the error of the reset, and the read sees an end. A response to HEAD was passed on in that case.

Change: the parser rejects a status that is not from 200 to 599.

--- a/modules/borageslip_traffic/engine/AttemptState.cpp
+++ b/modules/borageslip_traffic/engine/AttemptState.cpp
@@ -29,7 +29,7 @@
 {
     if (!connection->receiveBuffer.empty())
         logEvent(Severity::Warning, "bytes-after-answer", { { "request", context.metadata.requestId }, { "server", server->description().id } });
-    const bool isReusable = reader.keepsConnection() && reader.framing() != BodyFraming::UntilClose && connection->receiveBuffer.empty() && *isWritten && server->isInService();
+    const bool isReusable = reader.keepsConnection() && reader.framing() != BodyFraming::UntilClose && connection->receiveBuffer.empty() && write->isWritten && server->isInService();
     if (!isReusable) {
         connection->close();
         return;
--- a/modules/borageslip_traffic/engine/AttemptState.h
+++ b/modules/borageslip_traffic/engine/AttemptState.h
@@ -2,6 +2,7 @@
 
 #include "../net/ServerConnection.h"
 #include "ExchangeContext.h"
+#include "RequestWrite.h"
 #include "ReservationWait.h"
 #include <borageslip_request/attempt/AttemptChart.h>
 
@@ -40,7 +41,7 @@
     bool isResponseBegun = false; ///< Whether the header of the response has arrived.
     bool isConnectionLost = false;
     bool hasProgressed = false; ///< Whether the response went on after its first event, or is complete. Clears the parts of the prompt; until then a crash makes them suspects.
-    std::shared_ptr<bool> isWritten = std::make_shared<bool>(false);
+    std::shared_ptr<RequestWrite> write = std::make_shared<RequestWrite>();
 };
 
 }
--- /dev/null
+++ b/modules/borageslip_traffic/engine/RequestWrite.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace borageslip {
+
+/** How the writing of one request to a backend server has ended. Shared with the coroutine that writes the request. */
+struct RequestWrite {
+    bool isEnded = false;
+    bool isWritten = false; ///< Whether the kernel has taken the whole request.
+};
+
+}
--- a/modules/borageslip_traffic/engine/ResponseReceiver.cpp
+++ b/modules/borageslip_traffic/engine/ResponseReceiver.cpp
@@ -42,10 +42,12 @@
     const auto bodyKind = m_context.request.method() == boost::beast::http::verb::head ? ResponseReader::Body::None : ResponseReader::Body::Expected;
     m_context.engine.countPrompt(m_context.metadata, m_state.reservation->pendingTokens());
     for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
-        ResponseSource source(*m_state.connection, m_context.engine.scratch(), m_context.engine.memory(), bodyKind);
+        ResponseSource source(*m_state.connection, m_state.write, m_context.engine.scratch(), m_context.engine.memory(), bodyKind);
         const auto& reader = source.reader();
         const bool hasHead = co_await source.readHead();
         m_state.reservation->onResponseBegun();
+        if (!hasHead && source.isInvalid())
+            co_return m_state.handleLostResponse("the bytes received are not a valid response");
         if (!hasHead)
             co_return m_state.handleLostConnection("connection lost before a response was received");
         m_state.isResponseBegun = true;
@@ -66,6 +68,13 @@
             co_return handleMisdirected();
         if (metadata.isNotRun)
             co_return co_await handleNotRun(source);
+        // A response to HEAD ends with its head, so that a connection that is lost afterwards cannot show that the server failed.
+        const bool endsWithHead = bodyKind == ResponseReader::Body::None && !reader.hasStatedLength();
+        bool isReceived = true;
+        if (endsWithHead)
+            isReceived = co_await source.awaitRequestReceived();
+        if (!isReceived)
+            co_return m_state.handleLostConnection("connection lost before the whole request was received");
         recordServerHealth(reader.head().result_int());
         const bool isSuccess = reader.head().result_int() / 100 == 2;
         if (!isSuccess && tryReserveRetry(reader.head().result_int())) {
--- a/modules/borageslip_traffic/engine/ServerAttempt.cpp
+++ b/modules/borageslip_traffic/engine/ServerAttempt.cpp
@@ -83,12 +83,13 @@
     return serializeRequestHead(outgoing, m_context.request.body().size());
 }
 
-asio::awaitable<void> ServerAttempt::writeRequest(std::shared_ptr<ExchangeContext> context, ServerConnectionPtr connection, std::string head, std::shared_ptr<bool> isWritten)
+asio::awaitable<void> ServerAttempt::writeRequest(std::shared_ptr<ExchangeContext> context, ServerConnectionPtr connection, std::string head, std::shared_ptr<RequestWrite> write)
 {
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(context->request.body()) };
     boost::system::error_code failure;
     co_await asio::async_write(connection->socket, buffers, asio::redirect_error(asio::use_awaitable, failure));
-    *isWritten = !failure;
+    write->isEnded = true;
+    write->isWritten = !failure;
 }
 
 asio::awaitable<AttemptResult> ServerAttempt::send(AttemptState& state)
@@ -101,9 +102,9 @@
     auto head = forwardedHead(*state.server);
     // A backend server may respond before it has read the whole body of a long request.
     if (head.size() + m_context.request.body().size() > maxInlineRequestBytes)
-        asio::co_spawn(m_context.engine.executor(), writeRequest(m_context.shared_from_this(), state.connection, std::move(head), state.isWritten), asio::detached);
+        asio::co_spawn(m_context.engine.executor(), writeRequest(m_context.shared_from_this(), state.connection, std::move(head), state.write), asio::detached);
     else
-        co_await writeRequest(m_context.shared_from_this(), state.connection, std::move(head), state.isWritten);
+        co_await writeRequest(m_context.shared_from_this(), state.connection, std::move(head), state.write);
     ResponseReceiver receiver(m_context, state);
     co_return co_await receiver.receive();
 }
--- a/modules/borageslip_traffic/engine/ServerAttempt.h
+++ b/modules/borageslip_traffic/engine/ServerAttempt.h
@@ -20,7 +20,7 @@
     /** Reports the request as a suspect if the server has crashed before its response was complete. */
     boost::asio::awaitable<void> checkForCrash(const AttemptState&);
     std::string forwardedHead(const BackendServer&) const;
-    static boost::asio::awaitable<void> writeRequest(std::shared_ptr<ExchangeContext>, ServerConnectionPtr, std::string head, std::shared_ptr<bool> isWritten);
+    static boost::asio::awaitable<void> writeRequest(std::shared_ptr<ExchangeContext>, ServerConnectionPtr, std::string head, std::shared_ptr<RequestWrite>);
 
     ExchangeContext& m_context;
 };
--- a/modules/borageslip_traffic/http/HttpMessages.cpp
+++ b/modules/borageslip_traffic/http/HttpMessages.cpp
@@ -16,6 +16,8 @@
 
     constexpr size_t maxControlBytes = 16 * 1024; ///< Of a chunk's size line or the trailer fields, which are parsed only once they are complete.
     constexpr int maxInterimResponses = 16; ///< Before one response.
+    constexpr unsigned minFinalStatus = 200;
+    constexpr unsigned maxFinalStatus = 599;
 
     std::string_view viewOf(boost::beast::string_view text)
     {
@@ -121,13 +123,23 @@
             return Error { ErrorKind::InvalidMessage, failure.message() };
         const bool isInterim = m_parser->is_header_done() && m_parser->get().result_int() / 100 == 1;
         if (!isInterim)
-            return ok();
+            return checkStatus();
         if (++m_interimResponses > maxInterimResponses)
             return Error { ErrorKind::InvalidMessage, "too many interim responses" };
         resetParser();
     }
 }
 
+Status ResponseReader::checkStatus() const
+{
+    if (!hasHead())
+        return ok();
+    const auto status = m_parser->get().result_int();
+    if (status < minFinalStatus || status > maxFinalStatus)
+        return Error { ErrorKind::InvalidMessage, "the status is not from 200 to 599" };
+    return ok();
+}
+
 Status ResponseReader::handleEof()
 {
     if (isDone())
@@ -153,6 +165,12 @@
     return length ? std::optional<uint64_t>(*length) : std::nullopt;
 }
 
+bool ResponseReader::hasStatedLength() const
+{
+    const auto status = m_parser->get().result();
+    return m_parser->chunked() || m_parser->content_length() || status == http::status::no_content || status == http::status::not_modified;
+}
+
 std::string ResponseReader::takeBody()
 {
     std::string body;
--- a/modules/borageslip_traffic/http/HttpMessages.h
+++ b/modules/borageslip_traffic/http/HttpMessages.h
@@ -63,7 +63,8 @@
     explicit ResponseReader(Body);
 
     /** Parses as much as possible and removes the parsed bytes from `bytes`. Bytes after the end of the response are
-        kept; before its end, what remains is bounded. Errors: InvalidMessage if the bytes are not a valid response. */
+        kept; before its end, what remains is bounded. Errors: InvalidMessage if the bytes are not a valid response, also
+        if its status is not from 200 to 599. */
     Status feed(std::string& bytes);
 
     /** To be called when the server closed the connection cleanly. Errors: InvalidMessage if the response is
@@ -76,6 +77,10 @@
     BodyFraming framing() const;
     std::optional<uint64_t> contentLength() const;
 
+    /** Whether the head shows where the body ends, or that there is none by the status. False for a response to HEAD that
+        states no length. */
+    bool hasStatedLength() const;
+
     /** Whether the connection can be reused after this response. */
     bool keepsConnection() const { return m_parser->keep_alive(); }
 
@@ -88,6 +93,7 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    Status checkStatus() const;
     void resetParser();
 
     Body m_body;
--- a/tests/borageslip_traffic/HttpMessagesTests.cpp
+++ b/tests/borageslip_traffic/HttpMessagesTests.cpp
@@ -137,6 +137,42 @@
     CHECK(reader.head().result_int() == 204);
 }
 
+// Guards against a status such as 000 or 600 that reaches a caller as the status of its response.
+TEST_CASE("a response whose status is not from 200 to 599 is invalid")
+{
+    for (const auto* status : { "000", "001", "099", "600", "999" }) {
+        ResponseReader reader(ResponseReader::Body::Expected);
+        std::string buffer = "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 3\r\n\r\nbad";
+        INFO(status);
+        CHECK_FALSE(isOk(reader.feed(buffer)));
+        ResponseReader headReader(ResponseReader::Body::None);
+        buffer = "HTTP/1.1 " + std::string(status) + " X\r\n\r\n";
+        CHECK_FALSE(isOk(headReader.feed(buffer)));
+    }
+    for (const auto* status : { "200", "304", "599" }) {
+        ResponseReader reader(ResponseReader::Body::Expected);
+        std::string buffer = "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n\r\n";
+        INFO(status);
+        REQUIRE(isOk(reader.feed(buffer)));
+        CHECK(reader.isDone());
+    }
+}
+
+// Guards against a status from 100 to 199 that passes as final because it comes with a length and a body.
+TEST_CASE("an interim status does not end a response")
+{
+    for (const auto* status : { "100", "101", "150", "199" }) {
+        ResponseReader reader(ResponseReader::Body::Expected);
+        std::string buffer = "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 5\r\n\r\n";
+        INFO(status);
+        REQUIRE(isOk(reader.feed(buffer)));
+        CHECK_FALSE(reader.hasHead());
+        buffer += "final";
+        const bool isRead = isOk(reader.feed(buffer)) && isOk(reader.handleEof());
+        CHECK_FALSE(isRead);
+    }
+}
+
 // Guards against a server or caller that takes the process over its memory limit by a chunk line or trailer without end.
 TEST_CASE("the bytes of a message that a parser cannot consume yet are bounded")
 {
