--- a/modules/borageslip_traffic/engine/AttemptState.h
+++ b/modules/borageslip_traffic/engine/AttemptState.h
@@ -2,6 +2,7 @@
 
 #include "../net/ServerConnection.h"
 #include "ExchangeContext.h"
+#include "RequestWrite.h"
 #include "ReservationWait.h"
 #include <borageslip_request/attempt/AttemptChart.h>
 
@@ -18,13 +19,6 @@
     Aborted, ///< The caller disconnected or the deadline passed, or the response was cut off after its start.
 };
 
-/** How far the request has been written to a backend server. */
-enum class WriteProgress {
-    Begun, ///< Also when the write failed.
-    Complete,
-    Withheld, ///< No byte was written, because the server was evacuated.
-};
-
 /** State of one attempt to send a request, with what its end changes in the request and the backend server. */
 struct AttemptState {
     /** Closes the connection and records that the response is missing or incomplete. */
@@ -49,7 +43,7 @@
     bool isResponseBegun = false; ///< Whether the header of the response has arrived.
     bool isConnectionLost = false;
     bool hasProgressed = false; ///< Whether the response went on after its first event, or is complete. Clears the parts of the prompt; until then a crash makes them suspects.
-    std::shared_ptr<WriteProgress> writeProgress = std::make_shared<WriteProgress>(WriteProgress::Begun);
+    std::shared_ptr<RequestWrite> write = std::make_shared<RequestWrite>();
 };
 
 }
--- a/modules/borageslip_traffic/engine/ServerAttempt.cpp
+++ b/modules/borageslip_traffic/engine/ServerAttempt.cpp
@@ -112,18 +112,20 @@
     return serializeRequestHead(outgoing, m_context.request.body().size());
 }
 
-asio::awaitable<void> ServerAttempt::writeRequest(std::shared_ptr<ExchangeContext> context, ServerConnectionPtr connection, BackendServerPtr server, std::string head, std::shared_ptr<WriteProgress> progress)
+asio::awaitable<void> ServerAttempt::writeRequest(std::shared_ptr<ExchangeContext> context, ServerConnectionPtr connection, BackendServerPtr server, std::string head, std::shared_ptr<RequestWrite> write)
 {
     // A coroutine that was spawned begins later than the checks before it.
     if (server->isEvacuated()) {
-        *progress = WriteProgress::Withheld;
+        write->isWithheld = true;
+        write->isEnded = true;
         connection->close();
         co_return;
     }
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(context->request.body()) };
     boost::system::error_code failure;
     co_await asio::async_write(connection->socket, buffers, asio::redirect_error(asio::use_awaitable, failure));
-    *progress = failure ? WriteProgress::Begun : WriteProgress::Complete;
+    write->isEnded = true;
+    write->isWritten = !failure;
 }
 
 asio::awaitable<AttemptResult> ServerAttempt::send(AttemptState& state)
@@ -136,9 +138,9 @@
     auto head = forwardedHead(*state.server);
     // A backend server may respond before it has read the whole body of a long request.
     if (head.size() + m_context.request.body().size() > maxInlineRequestBytes)
-        asio::co_spawn(m_context.engine.executor(), writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.writeProgress), asio::detached);
+        asio::co_spawn(m_context.engine.executor(), writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.write), asio::detached);
     else
-        co_await writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.writeProgress);
+        co_await writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.write);
     ResponseReceiver receiver(m_context, state);
     co_return co_await receiver.receive();
 }
--- a/modules/borageslip_traffic/engine/ServerAttempt.h
+++ b/modules/borageslip_traffic/engine/ServerAttempt.h
@@ -24,7 +24,7 @@
     boost::asio::awaitable<void> checkForCrash(const AttemptState&);
     AttemptResult abandon(const BackendServer&);
     std::string forwardedHead(const BackendServer&) const;
-    static boost::asio::awaitable<void> writeRequest(std::shared_ptr<ExchangeContext>, ServerConnectionPtr, BackendServerPtr, std::string head, std::shared_ptr<WriteProgress>);
+    static boost::asio::awaitable<void> writeRequest(std::shared_ptr<ExchangeContext>, ServerConnectionPtr, BackendServerPtr, std::string head, std::shared_ptr<RequestWrite>);
 
     ExchangeContext& m_context;
 };
