--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -80,16 +80,16 @@
         if (m_reservationBroker != nullptr)
             m_reservationBroker->onEvacuationChanged();
     });
+    m_crashDetector.setCrashHandler([this](const BackendServer& server) {
+        if (const auto listed = m_servers.find(server.hash()))
+            m_coldServers.recordUnreachable(*listed);
+    });
 }
 
 Duration TrafficEngine::coldStartOf(std::string_view service) const
 {
     const auto* known = m_configuration ? m_configuration->service(service) : nullptr;
     return known == nullptr ? Duration::zero() : Duration(known->coldStart);
-    m_crashDetector.setCrashHandler([this](const BackendServer& server) {
-        if (const auto listed = m_servers.find(server.hash()))
-            m_coldServers.recordUnreachable(*listed);
-    });
 }
 
 void TrafficEngine::setPromptHealthListener(PromptHealthListener* listener)
