Grant reservations only as far as a server's memory holds them

Coordinators of reservations did not count the memory of servers, so that several instances together could send a server more than it holds.

Where the settings' contracts contain pressure, instances state in reservation messages and reports what their requests can hold at each server, and the coordinator grants by ServerMemory. Without an answer nothing is sent to a server with a known memory. Without the contract messages and decisions are as before: a message has 16 elements, a report 10.

--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -33,6 +33,8 @@
 #include "net/SpawnTask.h"
 #include "peers/CoordinationHost.h"
 #include "peers/Member.h"
+#include "peers/MemoryCoordination.h"
+#include "peers/MemoryMessages.h"
 #include "peers/PeerLink.h"
 #include "peers/PeerReport.h"
 #include "peers/PeerReportTable.h"
--- a/modules/borageslip_traffic/engine/ReservationWait.cpp
+++ b/modules/borageslip_traffic/engine/ReservationWait.cpp
@@ -31,6 +31,8 @@
         co_return rejectEvacuated();
     if (!m_context.engine.hasServersInService(m_context.admitted.service))
         co_return Error { ErrorKind::NoEngineAvailable, "service \"" + m_context.admitted.service + "\" has no backend server in service" };
+    if (auto tooLarge = m_context.engine.checkServerMemory(m_context.metadata, m_context.admitted); !isOk(tooLarge))
+        co_return error(tooLarge);
     auto resumed = co_await awaitEndOfPause();
     if (!isOk(resumed))
         co_return error(resumed);
@@ -83,7 +85,7 @@
     auto* broker = m_context.engine.reservationBroker();
     if (broker == nullptr)
         co_return ReservationResult { ReservationOutcome::Granted, prefix.hash != 0 && server.recordPrefix(prefix.hash) };
-    const ReservationDemand demand { m_context.engine.reservationLimits(server, m_context.admitted), prefix, m_context.promptTokens(), m_context.admitted.requestPriority(), waitWithin };
+    const ReservationDemand demand { m_context.engine.reservationLimits(server, m_context.admitted), prefix, m_context.promptTokens(), m_context.admitted.requestPriority(), waitWithin, m_context.engine.requestMemory(m_context.metadata, m_context.admitted) };
     co_return co_await broker->requestReservation(server, demand);
 }
 
@@ -95,7 +97,7 @@
         if (!server)
             break;
         m_context.choiceReason = reason;
-        auto reservation = std::make_shared<ServerReservation>(m_context.engine, server, m_context.promptTokens());
+        auto reservation = std::make_shared<ServerReservation>(m_context.engine, server, m_context.promptTokens(), nullptr, m_context.engine.requestMemory(m_context.metadata, m_context.admitted));
         const bool waits = prefixWaits == PrefixWait::Allowed && reason == ChoiceReason::Affinity;
         const auto waitWithin = waits ? prefixWait() : milliseconds(0);
         const auto result = co_await requestReservation(*server, waitWithin);
--- a/modules/borageslip_traffic/engine/ServerReservation.h
+++ b/modules/borageslip_traffic/engine/ServerReservation.h
@@ -13,18 +13,21 @@
     the queue of the service is released with it. */
 class ServerReservation {
 public:
-    ServerReservation(TrafficEngine& engine, BackendServerPtr server, int64_t tokens, std::unique_ptr<SlotTicket> ticket = nullptr)
+    ServerReservation(TrafficEngine& engine, BackendServerPtr server, int64_t tokens, std::unique_ptr<SlotTicket> ticket = nullptr, const RequestMemory& memory = {})
         : m_engine(engine)
         , m_server(std::move(server))
         , m_tokens(tokens)
         , m_ticket(std::move(ticket))
+        , m_memory(memory)
     {
         m_server->beginRequest();
+        m_server->ownMemory().add(m_memory);
         m_server->addPendingPrefill(m_tokens);
     }
     ~ServerReservation()
     {
         m_server->endRequest();
+        m_server->ownMemory().remove(m_memory);
         m_server->addPendingPrefill(-m_tokens);
         if (!m_isConfirmed)
             return;
@@ -68,6 +71,7 @@
     BackendServerPtr m_server;
     int64_t m_tokens;
     std::unique_ptr<SlotTicket> m_ticket; ///< Null unless the slot was granted from the queue of the service.
+    RequestMemory m_memory;
     bool m_isConfirmed = false;
 };
 
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -1,6 +1,7 @@
 #include "TrafficEngine.h"
 
 #include <borageslip_scheduling/limits/RetryAfter.h>
+#include <borageslip_scheduling/placement/ServerMemory.h>
 
 #include <borageslip_core/identity/Hash.h>
 #include <borageslip_core/logging/Log.h>
@@ -52,6 +53,14 @@
         return affinity | 1;
     }
 
+    uint64_t promptPartTokens(const RequestMetadata& metadata)
+    {
+        uint64_t tokens = 0;
+        for (const auto& part : metadata.promptParts)
+            tokens += part.tokens;
+        return tokens;
+    }
+
     /** Prompt tokens of the parts that other requests share. */
     uint64_t sharedTokens(const RequestMetadata& metadata)
     {
@@ -184,6 +193,31 @@
     m_counts.promptTokensCached += static_cast<uint64_t>(std::max<int64_t>(0, metadata.promptTokens - uncached));
 }
 
+uint64_t TrafficEngine::serverMemory(std::string_view service) const
+{
+    const auto* known = m_settings.guardsServerMemory && m_configuration ? m_configuration->service(service) : nullptr;
+    return known != nullptr && known->engine ? static_cast<uint64_t>(std::max<int64_t>(0, known->engine->cacheTokens)) : 0;
+}
+
+RequestMemory TrafficEngine::requestMemory(const RequestMetadata& metadata, const AdmittedRequest& admitted) const
+{
+    if (!m_settings.guardsServerMemory)
+        return {};
+    const uint64_t prompt = std::max<uint64_t>(metadata.promptTokens, promptPartTokens(metadata));
+    const auto shared = admitted.affinity == 0 ? 0 : std::min(prompt, admitted.prefixTokens);
+    return { prompt - shared + metadata.maxOutputTokens, { shared == 0 ? 0 : admitted.affinity, shared } };
+}
+
+Status TrafficEngine::checkServerMemory(const RequestMetadata& metadata, const AdmittedRequest& admitted)
+{
+    const auto capacity = serverMemory(admitted.service);
+    const auto tokens = requestMemory(metadata, admitted).total();
+    if (capacity == 0 || tokens <= ServerMemory::maxRequestTokens(capacity))
+        return ok();
+    ++m_counts.memoryRejections;
+    return Error { ErrorKind::NoEngineAvailable, "the request can hold " + std::to_string(tokens) + " tokens, more than a server of \"" + admitted.service + "\" has memory for" };
+}
+
 ReservationLimits TrafficEngine::reservationLimits(const BackendServer& server, const AdmittedRequest& admitted)
 {
     const int slots = server.description().slots;
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -40,6 +40,7 @@
     std::optional<Duration> maxConfigurationAge {};
     /** The failure domains that may be evacuated; absent if evacuation is disabled. */
     std::optional<Evacuations::DomainSet> evacuableDomains {};
+    bool guardsServerMemory = false; ///< Whether requests are granted only as far as the memory of the servers holds them, @see ServerMemory.
     size_t bufferBytes = 32 * 1024 * 1024; ///< Limit of the budget for the buffers of all connections, @see MemoryBudget.
 };
 
@@ -141,6 +142,16 @@
     /** The part of the request's prompt that other requests share. */
     static SharedPrefix sharedPrefix(const AdmittedRequest& admitted) { return { admitted.affinity, admitted.prefixTokens }; }
 
+    /** Memory of each server of the service in tokens; 0 if it is unknown or not guarded. */
+    uint64_t serverMemory(std::string_view service) const;
+    bool guardsServerMemory() const { return m_settings.guardsServerMemory; }
+
+    /** The most that the request can hold in the memory of a server; nothing where that is not guarded. */
+    RequestMemory requestMemory(const RequestMetadata&, const AdmittedRequest&) const;
+
+    /** Errors: NoEngineAvailable if the request is larger than the memory that a server has for one request. */
+    Status checkServerMemory(const RequestMetadata&, const AdmittedRequest&);
+
     /** Counts the prompt tokens of an attempt. @param uncached tokens that are not expected in the prefix cache of the server. */
     void countPrompt(const RequestMetadata&, int64_t uncached);
 
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -3,6 +3,7 @@
 #include "../placement/ReservationBroker.h"
 #include "DurationHistogram.h"
 #include <borageslip_scheduling/placement/ServerChoice.h>
+#include <borageslip_scheduling/placement/ServerMemory.h>
 
 namespace borageslip {
 
@@ -19,6 +20,9 @@
     uint64_t confirmationsMissed = 0; ///< Of these, the ones for which it was not confirmed in time.
     uint64_t rateLimitDenials = 0; ///< Reservations and slots that this instance denied because of the rate limit of a server.
     uint64_t invalidRateLimits = 0; ///< Responses with a rate limit that cannot be applied as it stands.
+    uint64_t memoryRejections = 0; ///< Requests larger than the memory that a server has for one request.
+    std::array<uint64_t, memoryDecisionCount> memoryDecisions {}; ///< Of this instance as a coordinator; by MemoryDecision.
+    uint64_t memoryUnanswered = 0; ///< Requests not sent to a server because its coordinator did not reply.
     uint64_t quarantineRejections = 0; ///< Requests that were not sent because of quarantined prompt parts.
     uint64_t evacuationAbandons = 0; ///< Attempts given up before the request was written, because their server was evacuated.
     uint64_t evacuationRejections = 0; ///< Requests rejected because all servers of their service are evacuated.
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -84,6 +84,14 @@
         return family;
     }
 
+    MetricFamily memoryDenials(const TrafficCounts& counts)
+    {
+        auto family = makeFamily("borageslip_entry_memory_denials_total", "Reservations that this coordinator denied because of the memory of a server", MetricType::Counter);
+        addSample(family, "reason", "full", static_cast<double>(counts.memoryDecisions.at(static_cast<size_t>(MemoryDecision::Full))));
+        addSample(family, "reason", "unsettled", static_cast<double>(counts.memoryDecisions.at(static_cast<size_t>(MemoryDecision::Unsettled))));
+        return family;
+    }
+
     MetricFamily placements(const TrafficCounts& counts)
     {
         auto family = makeFamily("borageslip_entry_placements_total", "Choices of a backend server, by reason", MetricType::Counter);
@@ -204,6 +212,9 @@
         gauge("borageslip_entry_rate_limited_servers", "Backend servers that have named a rate limit", static_cast<double>(rateLimitedServers(m_engine))),
         counter("borageslip_entry_rate_limit_denials_total", "Reservations that this coordinator denied because of the rate limit of a server", counts.rateLimitDenials),
         counter("borageslip_entry_rate_limits_invalid_total", "Responses with a rate limit that is no number or out of range", counts.invalidRateLimits),
+        memoryDenials(counts),
+        counter("borageslip_entry_memory_rejections_total", "Requests rejected because they are larger than the memory that a server has for one request", counts.memoryRejections),
+        counter("borageslip_entry_memory_unanswered_total", "Requests not sent to a server because nobody knew how much of its memory was left", counts.memoryUnanswered),
         counter("borageslip_entry_server_crashes_total", "Crashes of backend servers with requests of this instance that they had not begun to answer", m_engine.crashDetector().crashCount()),
         counter("borageslip_entry_quarantine_rejections_total", "Requests rejected because of quarantined prompt parts", counts.quarantineRejections),
         gauge("borageslip_entry_quarantined_prompts", "Quarantined combinations of prompt parts", static_cast<double>(m_engine.quarantine().quarantined().size())),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -40,9 +40,10 @@
     , m_socket(engine.executor())
     , m_timer(engine.executor())
     , m_reportTable(minReportLifetime)
+    , m_memory(engine, *this, m_ownName)
     , m_pollEvent(engine.executor())
-    , m_grants(engine, m_reportTable, *this, m_ownName)
-    , m_requests(engine, *this, m_grants, m_ownName, m_incarnation)
+    , m_grants(engine, m_reportTable, m_memory, *this, m_ownName)
+    , m_requests(engine, *this, m_grants, m_memory, m_ownName, m_incarnation)
     , m_coordination(engine.clock(), *this, m_ownName, m_incarnation, engine.choiceLimits().capFactor)
 {
     m_engine.setReservationBroker(this);
@@ -92,6 +93,7 @@
     m_coordinators.clear();
     m_reportTable.setLifetime(std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
     m_engine.setInstanceCount(m_members.size() + 1);
+    m_memory.setFleet(m_members.size() + 1, std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
 }
 
 bool PeerLink::isHeard(std::string_view name) const
@@ -119,9 +121,11 @@
         return;
     logEvent(Severity::Info, "member-removed", { { "member", name } });
     m_requests.forgetTimeouts(name);
+    m_memory.removeInstance(name);
     m_members.erase(found);
     m_coordinators.clear();
     m_engine.setInstanceCount(m_members.size() + 1);
+    m_memory.setFleet(m_members.size() + 1, std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
 }
 
 void PeerLink::eraseDelistedMembers()
@@ -270,6 +274,7 @@
 {
     recordVersion(report.configurationVersion, sender);
     recordRateLimits(report.rateLimits);
+    m_memory.receiveReport(report);
     for (const auto& prompt : report.quarantined)
         m_engine.quarantine().adopt(prompt);
     const auto changes = m_reportTable.apply(std::move(report), m_engine.clock().now());
@@ -493,6 +498,7 @@
     }
     report.quarantined = m_engine.quarantine().quarantined();
     report.configurationVersion = m_engine.configurationVersion();
+    report.memory = m_memory.reportRows();
     const auto bytes = encodePeerReport(report);
     for (const auto& [name, listed] : m_members)
         send(bytes, listed.member.peerAddress);
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -4,6 +4,7 @@
 #include "../engine/TrafficEngine.h"
 #include "../net/AutoResetEvent.h"
 #include "Member.h"
+#include "MemoryCoordination.h"
 #include "PeerReportTable.h"
 #include "ReservationGrants.h"
 #include "ReservationRequests.h"
@@ -168,6 +169,7 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     PeerReportTable m_reportTable;
+    MemoryCoordination m_memory;
     std::map<std::string, ListedMember, std::less<>> m_members;
     mutable std::map<std::string, KnownCoordinator, std::less<>> m_coordinators; ///< By service.
     CurrentSender m_currentSender;
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -1,5 +1,6 @@
 #include "PeerReport.h"
 
+#include "MemoryMessages.h"
 #include "QuarantineMessages.h"
 #include "ServiceMessages.h"
 
@@ -75,6 +76,8 @@
     document.push_back(std::move(quarantined));
     document.push_back(report.configurationVersion);
     document.push_back(rateLimitRows(report.rateLimits));
+    if (report.memory)
+        document.push_back(memoryRows(*report.memory));
     return nlohmann::json::to_cbor(document);
 }
 
@@ -119,6 +122,11 @@
     if (!areRateLimits(document[9]))
         return malformed;
     report.rateLimits = rateLimitsFrom(document[9]);
+    if (document.size() == 10)
+        return report;
+    report.memory = memoryRowsFrom(document[10]);
+    if (!report.memory)
+        return malformed;
     return report;
 }
 
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -3,11 +3,13 @@
 #include "../quarantine/PromptQuarantine.h"
 
 #include <borageslip_core/errors/Result.h>
+#include <borageslip_scheduling/placement/MemoryUsage.h>
 #include <borageslip_scheduling/placement/ServerUsage.h>
 
 #include <chrono>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -59,6 +61,7 @@
     std::vector<QuarantinedPrompt> quarantined {}; ///< As known to the sender.
     std::vector<RateLimitRow> rateLimits {}; ///< As known to the sender.
     uint64_t configurationVersion = 0; ///< Of the configuration in force at the sender; 0 for none.
+    std::optional<std::vector<MemoryUsage>> memory {}; ///< Of the servers at which the sender has requests; absent if it doesn't count memory.
 
     bool operator==(const PeerReport&) const = default;
 };
--- a/modules/borageslip_traffic/peers/ReservationGrants.cpp
+++ b/modules/borageslip_traffic/peers/ReservationGrants.cpp
@@ -16,9 +16,10 @@
 
 }
 
-ReservationGrants::ReservationGrants(TrafficEngine& engine, PeerReportTable& reportTable, ReservationHost& host, std::string ownName)
+ReservationGrants::ReservationGrants(TrafficEngine& engine, PeerReportTable& reportTable, MemoryCoordination& memory, ReservationHost& host, std::string ownName)
     : m_engine(engine)
     , m_reportTable(reportTable)
+    , m_memory(memory)
     , m_host(host)
     , m_ownName(std::move(ownName))
 {
@@ -61,12 +62,13 @@
     const auto now = m_engine.clock().now();
     const auto server = m_engine.servers().find(message.usage.server);
     const bool isApplied = m_reportTable.applyUsage(message, now);
+    m_memory.receive(message);
     updatePeerUsage(message.usage.server);
     if (!server) {
         // A new server may not be listed at this instance yet. A reservation for it is granted, because the sender has
-        // already checked the limits.
+        // already checked the limits. The memory of the server, however, only its coordinator can check.
         if (message.isRequest)
-            m_host.send(encodeReservationReply({ message.sequence, true, false, message.usage }), sender);
+            m_host.send(encodeReservationReply({ message.sequence, !message.memory, false, message.usage }), sender);
         return;
     }
     if (message.isRequest && isApplied)
@@ -110,6 +112,8 @@
     const bool isBehind = m_waitList.hasBefore(server.hash(), message.priority);
     server.allowance().recordDemand(message.prefix.tokens);
     const bool isWithinRate = hasRate(server, message.prefix.tokens);
+    if (!m_memory.admits(server, message))
+        return denyReservation(server, message, sender);
     if (!isBehind && isWithinRate && canGrant(server, usage, message.limits))
         return grantReservation(server, message, sender);
     const bool lacksSlot = isBehind || !isWithinRate || (message.limits.slots != 0 && usage.inFlight >= message.limits.slots);
@@ -127,6 +131,7 @@
 void ReservationGrants::grantReservation(BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
 {
     server.allowance().takeRate(m_engine.clock().now());
+    m_memory.recordGrant(server, message);
     const bool isPrefixCached = message.prefix.hash != 0 && server.recordPrefix(message.prefix.hash);
     if (isPrefixCached)
         reduceUsage(message, { server.hash(), 0, message.prefix.tokens });
@@ -136,6 +141,7 @@
 void ReservationGrants::denyReservation(const BackendServer& server, const ReservationMessage& message, const udp::endpoint& sender)
 {
     reduceUsage(message, { server.hash(), 1, message.promptTokens });
+    m_memory.recordDenial(message);
     replyTo(message, sender, { message.sequence, false, false, grantedUsage(server) });
 }
 
@@ -162,7 +168,7 @@
 void ReservationGrants::grantWaiting(BackendServer& server)
 {
     while (const auto* first = m_waitList.first(server.hash())) {
-        if (!hasRate(server, first->message.prefix.tokens) || !canGrant(server, grantedUsage(server), first->message.limits))
+        if (!hasRate(server, first->message.prefix.tokens) || !canGrant(server, grantedUsage(server), first->message.limits) || !m_memory.fits(server, first->message))
             return;
         const auto granted = m_waitList.takeFirst(server.hash());
         grantReservation(server, granted.message, granted.sender);
--- a/modules/borageslip_traffic/peers/ReservationGrants.h
+++ b/modules/borageslip_traffic/peers/ReservationGrants.h
@@ -2,6 +2,7 @@
 
 #include "../engine/TrafficEngine.h"
 #include "../limits/ReservationWaitList.h"
+#include "MemoryCoordination.h"
 #include "PeerReportTable.h"
 #include "ReservationHost.h"
 #include <borageslip_scheduling/placement/ReservationCoordinator.h>
@@ -19,7 +20,7 @@
     @see ReservationRequests */
 class ReservationGrants {
 public:
-    ReservationGrants(TrafficEngine&, PeerReportTable&, ReservationHost&, std::string ownName);
+    ReservationGrants(TrafficEngine&, PeerReportTable&, MemoryCoordination&, ReservationHost&, std::string ownName);
     ReservationGrants(const ReservationGrants&) = delete;
     ReservationGrants& operator=(const ReservationGrants&) = delete;
 
@@ -75,6 +76,7 @@
 
     TrafficEngine& m_engine;
     PeerReportTable& m_reportTable;
+    MemoryCoordination& m_memory;
     ReservationHost& m_host;
     std::string m_ownName;
     ReservationWaitList m_waitList; ///< Of the servers that this instance coordinates.
--- a/modules/borageslip_traffic/peers/ReservationMessages.cpp
+++ b/modules/borageslip_traffic/peers/ReservationMessages.cpp
@@ -24,11 +24,18 @@
 
     Result<PeerMessage> reservationMessageFrom(const nlohmann::json& document)
     {
-        if (document.size() != 16 || !document[1].is_string() || !document[7].is_boolean() || !areNumbers(document, { 2, 3, 4, 5, 6, 8, 9, 10, 11, 12 }))
+        // The part on memory follows where the sender counts it.
+        const bool hasMemory = document.size() == 17;
+        if ((document.size() != 16 && !hasMemory) || !document[1].is_string() || !document[7].is_boolean() || !areNumbers(document, { 2, 3, 4, 5, 6, 8, 9, 10, 11, 12 }))
             return malformed();
         if (!isPriorityField(document[13]) || !isPriorityField(document[14]) || !isTimeField(document[15]))
             return malformed();
-        return PeerMessage(ReservationMessage { document[1], document[2], document[3], { document[4], document[5], document[6] }, document[7], { document[8], document[9] }, { document[10], document[11] }, document[12], { document[13], document[14] }, std::chrono::milliseconds(document[15].get<int64_t>()) });
+        std::optional<MemoryClaim> memory;
+        if (hasMemory)
+            memory = memoryClaimFrom(document[16], document[4]);
+        if (hasMemory && !memory)
+            return malformed();
+        return PeerMessage(ReservationMessage { document[1], document[2], document[3], { document[4], document[5], document[6] }, document[7], { document[8], document[9] }, { document[10], document[11] }, document[12], { document[13], document[14] }, std::chrono::milliseconds(document[15].get<int64_t>()), std::move(memory) });
     }
 
     template <typename Message>
@@ -51,7 +58,10 @@
 std::vector<uint8_t> encodeReservationMessage(const ReservationMessage& message)
 {
     const auto& usage = message.usage;
-    return nlohmann::json::to_cbor(nlohmann::json::array({ reservationMessageKind, message.sender, message.incarnation, message.sequence, usage.server, usage.inFlight, usage.pendingPrefill, message.isRequest, message.limits.slots, message.limits.pendingPrefill, message.prefix.hash, message.prefix.tokens, message.promptTokens, message.priority.account, message.priority.route, static_cast<uint64_t>(message.waitWithin.count()) }));
+    auto document = nlohmann::json::array({ reservationMessageKind, message.sender, message.incarnation, message.sequence, usage.server, usage.inFlight, usage.pendingPrefill, message.isRequest, message.limits.slots, message.limits.pendingPrefill, message.prefix.hash, message.prefix.tokens, message.promptTokens, message.priority.account, message.priority.route, static_cast<uint64_t>(message.waitWithin.count()) });
+    if (message.memory)
+        document.push_back(memoryClaimRow(*message.memory));
+    return nlohmann::json::to_cbor(document);
 }
 
 std::vector<uint8_t> encodeReservationReply(const ReservationReply& reply)
--- a/modules/borageslip_traffic/peers/ReservationMessages.h
+++ b/modules/borageslip_traffic/peers/ReservationMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "MemoryMessages.h"
 #include "PeerReport.h"
 #include "QuarantineMessages.h"
 #include "ServiceMessages.h"
@@ -33,6 +34,7 @@
     uint64_t promptTokens = 0; ///< Of the request; part of the usage.
     RequestPriority priority {};
     std::chrono::milliseconds waitWithin { 0 }; ///< For which the request waits for a slot if the server has none.
+    std::optional<MemoryClaim> memory {}; ///< Absent if the sender doesn't count the memory of servers.
 
     bool operator==(const ReservationMessage&) const = default;
 };
--- a/modules/borageslip_traffic/peers/ReservationRequests.cpp
+++ b/modules/borageslip_traffic/peers/ReservationRequests.cpp
@@ -31,10 +31,11 @@
 
 }
 
-ReservationRequests::ReservationRequests(TrafficEngine& engine, ReservationHost& host, ReservationGrants& grants, std::string ownName, uint64_t incarnation)
+ReservationRequests::ReservationRequests(TrafficEngine& engine, ReservationHost& host, ReservationGrants& grants, const MemoryCoordination& memory, std::string ownName, uint64_t incarnation)
     : m_engine(engine)
     , m_host(host)
     , m_grants(grants)
+    , m_memory(memory)
     , m_ownName(std::move(ownName))
     , m_incarnation(incarnation)
 {
@@ -103,7 +104,9 @@
 {
     const auto inFlight = static_cast<uint32_t>(server.ownInFlight());
     const auto pendingPrefill = static_cast<uint64_t>(std::max<int64_t>(0, server.ownPendingPrefill()));
-    return { m_ownName, m_incarnation, m_host.nextSequence(), { server.hash(), inFlight, pendingPrefill } };
+    ReservationMessage message { m_ownName, m_incarnation, m_host.nextSequence(), { server.hash(), inFlight, pendingPrefill } };
+    message.memory = m_memory.claim(server);
+    return message;
 }
 
 asio::awaitable<ReservationResult> ReservationRequests::requestReservation(BackendServer& server, ReservationDemand demand)
@@ -116,6 +119,7 @@
     message.promptTokens = static_cast<uint64_t>(demand.promptTokens);
     message.priority = demand.priority;
     message.waitWithin = demand.waitWithin;
+    message.memory = m_memory.claim(server, demand.memory);
     const bool isOwn = !found || !m_host.isOpen();
     const auto name = isOwn ? m_ownName : std::string(found->name);
     AutoResetEvent signal(m_engine.executor());
@@ -152,6 +156,11 @@
         if (!reply)
             return { ReservationOutcome::Denied };
     }
+    // Without a reply, nobody knows how much of the server's memory is left.
+    if (!reply && m_memory.isGuarded(server)) {
+        ++m_engine.counts().memoryUnanswered;
+        return { ReservationOutcome::Denied };
+    }
     if (!reply) {
         const ServerUsage known { server.hash(), static_cast<uint32_t>(std::max(0, server.inFlight() - 1)), static_cast<uint64_t>(std::max<int64_t>(0, server.pendingPrefill() - demand.promptTokens)) };
         return { m_grants.canGrant(server, known, demand.limits) ? ReservationOutcome::TimedOut : ReservationOutcome::Denied };
--- a/modules/borageslip_traffic/peers/ReservationRequests.h
+++ b/modules/borageslip_traffic/peers/ReservationRequests.h
@@ -19,7 +19,7 @@
     @see ReservationGrants */
 class ReservationRequests {
 public:
-    ReservationRequests(TrafficEngine&, ReservationHost&, ReservationGrants&, std::string ownName, uint64_t incarnation);
+    ReservationRequests(TrafficEngine&, ReservationHost&, ReservationGrants&, const MemoryCoordination&, std::string ownName, uint64_t incarnation);
     ReservationRequests(const ReservationRequests&) = delete;
     ReservationRequests& operator=(const ReservationRequests&) = delete;
 
@@ -61,6 +61,7 @@
     TrafficEngine& m_engine;
     ReservationHost& m_host;
     ReservationGrants& m_grants;
+    const MemoryCoordination& m_memory;
     std::string m_ownName;
     uint64_t m_incarnation;
     std::unordered_map<uint64_t, PendingRequest> m_pendingRequests; ///< By sequence of the request.
--- a/modules/borageslip_traffic/placement/ReservationBroker.h
+++ b/modules/borageslip_traffic/placement/ReservationBroker.h
@@ -24,6 +24,7 @@
     int64_t promptTokens = 0; ///< Counted at the server beforehand.
     RequestPriority priority {};
     std::chrono::milliseconds waitWithin { 0 }; ///< For which the request waits for a slot if the server has none.
+    RequestMemory memory {}; ///< Counted at the server beforehand.
 };
 
 struct ReservationResult {
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../net/ConnectionPool.h"
+#include <borageslip_scheduling/placement/MemoryUsage.h>
 #include <borageslip_scheduling/placement/RecentPrefixes.h>
 #include <borageslip_scheduling/servers/SendAllowance.h>
 
@@ -112,6 +113,10 @@
     void beginRequest() { ++m_ownInFlight; }
     void endRequest() { --m_ownInFlight; }
 
+    /** What this instance's requests can hold in its memory. */
+    RequestMemoryCounter& ownMemory() { return m_ownMemory; }
+    const RequestMemoryCounter& ownMemory() const { return m_ownMemory; }
+
     /** Tokens of the prompts that all instances have sent to it and whose answers have not begun, from the latest known
         reports. */
     int64_t pendingPrefill() const { return m_ownPendingPrefill + m_peersPendingPrefill; }
@@ -159,6 +164,7 @@
     int m_ownInFlight = 0;
     int m_peersInFlight = 0;
     int64_t m_ownPendingPrefill = 0;
+    RequestMemoryCounter m_ownMemory;
     int64_t m_peersPendingPrefill = 0;
     TimePoint m_usageStatedAt {};
     std::unique_ptr<RecentPrefixes> m_recentPrefixes; ///< Null until the first prefix is recorded: few instances record prefixes of a server.
--- a/tests/platform/PlatformDocumentsTests.cpp
+++ b/tests/platform/PlatformDocumentsTests.cpp
@@ -122,6 +122,20 @@
     }
 }
 
+// Guards against a deployment without the contract that is served differently than before, and against one with it that is
+// not guarded.
+TEST_CASE("the memory of servers is guarded only where the settings' contracts contain pressure")
+{
+    auto document = settingsDocument();
+    CHECK_FALSE(value(parseSettings(document.dump())).guardsServerMemory);
+    document["contracts"] = { "base", "drain" };
+    CHECK_FALSE(value(parseSettings(document.dump())).guardsServerMemory);
+    document["contracts"] = { "base", "pressure" };
+    CHECK(value(parseSettings(document.dump())).guardsServerMemory);
+    document["contracts"] = "pressure";
+    CHECK_FALSE(value(parseSettings(document.dump())).guardsServerMemory);
+}
+
 TEST_CASE("parsers of external input accept arbitrary bytes without crashing")
 {
     std::minstd_rand random(20261204);
