--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -37,6 +37,8 @@
 #include "peers/ColdPermits.h"
 #include "peers/CoordinationHost.h"
 #include "peers/Member.h"
+#include "peers/MemoryCoordination.h"
+#include "peers/MemoryMessages.h"
 #include "peers/PeerLink.h"
 #include "peers/PeerReport.h"
 #include "peers/PeerReportTable.h"
--- a/modules/borageslip_traffic/engine/ServerReservation.h
+++ b/modules/borageslip_traffic/engine/ServerReservation.h
@@ -13,19 +13,22 @@
     the queue of the service is released with it. */
 class ServerReservation {
 public:
-    ServerReservation(TrafficEngine& engine, BackendServerPtr server, int64_t tokens, std::unique_ptr<SlotTicket> ticket = nullptr)
+    ServerReservation(TrafficEngine& engine, BackendServerPtr server, int64_t tokens, std::unique_ptr<SlotTicket> ticket = nullptr, const RequestMemory& memory = {})
         : m_engine(engine)
         , m_server(std::move(server))
         , m_tokens(tokens)
         , m_ticket(std::move(ticket))
+        , m_memory(memory)
     {
         m_server->beginRequest();
+        m_server->ownMemory().add(m_memory);
         m_server->addPendingPrefill(m_tokens);
     }
     ~ServerReservation()
     {
         endPrefill(PrefillEnd::Failed);
         m_server->endRequest();
+        m_server->ownMemory().remove(m_memory);
         m_server->addPendingPrefill(-m_tokens);
         if (!m_isConfirmed)
             return;
@@ -86,6 +89,7 @@
     int64_t m_tokens;
     std::unique_ptr<SlotTicket> m_ticket; ///< Null unless the slot was granted from the queue of the service.
     std::optional<ColdPermit> m_coldPermit {};
+    RequestMemory m_memory;
     bool m_isConfirmed = false;
     uint64_t m_prefix = 0; ///< Hash of the prefix that the request prefills for others, too; 0 for none.
 };
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -3,6 +3,7 @@
 #include "../placement/ReservationBroker.h"
 #include "DurationHistogram.h"
 #include <borageslip_scheduling/placement/ServerChoice.h>
+#include <borageslip_scheduling/placement/ServerMemory.h>
 
 namespace borageslip {
 
@@ -22,6 +23,9 @@
     std::array<uint64_t, reservationOutcomeCount> coldPermitRequests {}; ///< Permits for cold servers requested from other instances; by ReservationOutcome.
     uint64_t coldPermitsIssued = 0; ///< Permits for cold servers issued from the shares of this instance.
     uint64_t coldSendsWithheld = 0; ///< Requests not written to a cold server for want of a valid permit.
+    uint64_t memoryRejections = 0; ///< Requests larger than the memory that a server has for one request.
+    std::array<uint64_t, memoryDecisionCount> memoryDecisions {}; ///< Of this instance as a coordinator; by MemoryDecision.
+    uint64_t memoryUnanswered = 0; ///< Requests not sent to a server because its coordinator did not reply.
     uint64_t quarantineRejections = 0; ///< Requests that were not sent because of quarantined prompt parts.
     uint64_t evacuationAbandons = 0; ///< Attempts given up before the request was written, because their server was evacuated.
     uint64_t evacuationRejections = 0; ///< Requests rejected because all servers of their service are evacuated.
--- a/modules/borageslip_traffic/peers/ReservationMessages.h
+++ b/modules/borageslip_traffic/peers/ReservationMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ColdPermitMessages.h"
+#include "MemoryMessages.h"
 #include "PeerReport.h"
 #include "PrefillMessages.h"
 #include "QuarantineMessages.h"
@@ -35,6 +36,7 @@
     uint64_t promptTokens = 0; ///< Of the request; part of the usage.
     RequestPriority priority {};
     std::chrono::milliseconds waitWithin { 0 }; ///< For which the request waits for a slot if the server has none.
+    std::optional<MemoryClaim> memory {}; ///< Absent if the sender doesn't count the memory of servers.
 
     bool operator==(const ReservationMessage&) const = default;
 };
--- a/modules/borageslip_traffic/placement/ReservationBroker.h
+++ b/modules/borageslip_traffic/placement/ReservationBroker.h
@@ -25,6 +25,7 @@
     RequestPriority priority {};
     std::chrono::milliseconds waitWithin { 0 }; ///< For which the request waits for a slot if the server has none.
     std::chrono::milliseconds prefillWaitWithin { 0 }; ///< For which a granted request waits while another one prefills its prefix.
+    RequestMemory memory {}; ///< Counted at the server beforehand.
 };
 
 struct ReservationResult {
