--- a/tests/borageslip_traffic/SharedPrefillTests.cpp
+++ b/tests/borageslip_traffic/SharedPrefillTests.cpp
@@ -80,7 +80,8 @@
 public:
     Coordinator()
         : engine(clock, context.get_executor(), m_protocol, {})
-        , grants(engine, reports, host, "coordinator")
+        , memory(engine, host, "coordinator")
+        , grants(engine, reports, memory, host, "coordinator")
     {
         list({});
     }
@@ -119,6 +120,7 @@
     TrafficEngine engine;
     PeerReportTable reports { 10s };
     RecordingHost host;
+    MemoryCoordination memory;
     ReservationGrants grants;
 };
 
@@ -309,8 +311,9 @@
 public:
     Asker()
         : engine(clock, context.get_executor(), m_protocol, {})
-        , grants(engine, reports, host, "asker")
-        , requests(engine, host, grants, "asker", 1)
+        , memory(engine, host, "asker")
+        , grants(engine, reports, memory, host, "asker")
+        , requests(engine, host, grants, memory, "asker", 1)
     {
         host.isCoordinator = false;
         engine.servers().apply({ "only", "engines", "", {}, 8 });
@@ -352,6 +355,7 @@
     TrafficEngine engine;
     PeerReportTable reports { 10s };
     RecordingHost host;
+    MemoryCoordination memory;
     ReservationGrants grants;
     ReservationRequests requests;
     uint64_t sequence = 0;
