Choose servers by their stated speeds and at random while loads are old

Cause: all instances that know the same old loads choose the same server, and servers of different speed are treated as equal.

Change: ServerSlowness smooths and bounds what servers state of their speed; capacityShares gives each its share. The server choice and the coordinator's decision hold slow servers to their share of the limits and never exceed the limits of before. leastLoadedRuleFor replaces the least loaded of all servers by the better of two random ones while loads are older than 100 ms; the rule is not applied by default.

Tested: borageslip_scheduling_tests, all passed; herding of 300 choosers, slow servers, equal servers, the load cap, absurd figures, smoothing.

--- a/modules/borageslip_scheduling/borageslip_scheduling.h
+++ b/modules/borageslip_scheduling/borageslip_scheduling.h
@@ -22,6 +22,7 @@
 #include "placement/RecentPrefixes.h"
 #include "placement/ReservationCoordinator.h"
 #include "placement/ServerChoice.h"
+#include "placement/ServerSlowness.h"
 #include "placement/ServerUsage.h"
 #include "servers/SendAllowance.h"
 #include "servers/ServerHealth.h"
--- a/modules/borageslip_scheduling/placement/ReservationCoordinator.cpp
+++ b/modules/borageslip_scheduling/placement/ReservationCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "ReservationCoordinator.h"
 
 #include "../placement/ServerChoice.h"
+#include "ServerSlowness.h"
 
 #include <borageslip_core/identity/Hash.h>
 
@@ -25,7 +26,7 @@
     const auto& usage = server.usage;
     const bool hasSlot = limits.slots == 0 || usage.inFlight < limits.slots;
     const bool hasPrefill = limits.pendingPrefill == 0 || usage.pendingPrefill < limits.pendingPrefill;
-    return hasSlot && hasPrefill && usage.inFlight <= capFactor * server.meanInFlight + capMargin;
+    return hasSlot && hasPrefill && usage.inFlight <= loadLimit(server.capacityShare, capFactor, server.meanInFlight, capMargin);
 }
 
 }
--- a/modules/borageslip_scheduling/placement/ReservationCoordinator.h
+++ b/modules/borageslip_scheduling/placement/ReservationCoordinator.h
@@ -20,6 +20,7 @@
 struct ReservationContext {
     ServerUsage usage; ///< Total of all instances, without the requested reservation.
     double meanInFlight = 0; ///< Mean requests in flight over the servers of the service.
+    double capacityShare = 1; ///< Share of the work that the server should hold, relative to one of mean speed.
 };
 
 /** Whether a reservation may be granted: the server is within the load cap of the server choice and within the limits
--- a/modules/borageslip_scheduling/placement/ServerChoice.h
+++ b/modules/borageslip_scheduling/placement/ServerChoice.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <borageslip_core/time/Clock.h>
+
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -19,18 +21,31 @@
     /** Whether the loads are too old to keep a request away from the server of its prompt prefix: the server's
         coordinator decides. */
     bool isLoadOutdated = false;
+    /** Time that work takes on the server, as a multiple of the usual time. @see ServerSlowness */
+    double slowness = 1;
+};
+
+/** How a server is chosen where no prompt prefix decides. */
+enum class LeastLoadedRule {
+    OfAll, ///< The least loaded of all servers.
+    OfTwo, ///< The less loaded of two servers drawn at random, in proportion to their speeds.
 };
 
 /** Requests in flight allowed above capFactor times the mean. The required bound on load skew allows three; the third
     is headroom for a slightly outdated mean. */
 constexpr double capMargin = 2;
 
+/** Chooses the rule by the mean age of the loads that other instances have reported: all instances that know the same old
+    loads would choose the same server. */
+LeastLoadedRule leastLoadedRuleFor(Duration loadAge);
+
 /** Load limits of the server choice. */
 struct ServerChoiceLimits {
     double capFactor = 2; ///< A server with more than capFactor * mean + capMargin requests in flight gets no work.
     double affinityFactor = 2; ///< A request follows its affinity to servers with less than affinityFactor * mean + affinityMargin requests in flight.
     double affinityMargin = 2; ///< Requests.
     int64_t pendingPrefill = 24000; ///< Tokens; a longer prefill backlog would delay the first token by more than half a second.
+    LeastLoadedRule leastLoadedRule = LeastLoadedRule::OfAll;
 };
 
 /** Why a backend server was chosen. */
@@ -55,8 +70,9 @@
     same prompt prefix to the same server without shared state, and a popular prefix spreads over as many servers as its
     load needs. A candidate whose loads are outdated is tried as if it were within the limits, because instances that
     spill by different outdated loads would spread a prefix over many servers, each of which reads it again. Without an
-    affinity, or when all candidates exceed the affinity limits, the least loaded candidate is chosen; one in the own
-    failure domain is preferred at equal load. Ejected candidates are used only when no other one is eligible.
+    affinity, or when all candidates exceed the affinity limits, the least loaded candidate by the rule of the limits is
+    chosen; one in the own failure domain is preferred at equal load. Limits and loads are taken relative to the servers'
+    shares by their slowness. Ejected candidates are used only when no other one is eligible.
     @param affinity hash of the shared prompt prefix; 0 for none.
     @param tieBreak hash that spreads choices over otherwise equal candidates.
     @return nothing when no candidate is eligible: each is excluded, has no free slot or is over the cap. */
