Model unequal engines, coordinators and old reports in the experiment

Cause: the experiment had equal engines, fresh reports and no coordinators, so that it could not show uneven load.

Change: engines of different speed and neighbours, coordinators with denials and round trips, reports whose interval grows with the fleet, instances with different numbers of callers; the table has the busiest engine over the mean in each second and callers' latencies. ArrivalPlanner and LoadObserver are split from PolicyExperiment. Policies: product, equal-servers (the choice of before), speeds, two-choices.

--- a/modules/borageslip_experiment/model/CallerRequest.h
+++ b/modules/borageslip_experiment/model/CallerRequest.h
@@ -37,6 +37,7 @@
     int sendCount = 0;
     std::vector<uint64_t> triedEngines; ///< Hashes of the engines tried during the current call.
     int64_t pendingPrefill = 0; ///< Prompt tokens that the instance counts as pending at the engine until the first token.
+    int denials = 0; ///< By coordinators in the current placement.
     Duration sentAt {};
     Duration firstToken {};
     bool hasDeliveredFirstToken = false;
--- a/modules/borageslip_experiment/model/InstanceModel.cpp
+++ b/modules/borageslip_experiment/model/InstanceModel.cpp
@@ -67,6 +67,15 @@
     health.recordFailure(hashOf(engine), now, now);
 }
 
+void InstanceModel::applyPeerUsage(const InstanceModel& other)
+{
+    // Only the sum over all other instances is kept, so the change since the last report is added to it.
+    for (size_t engine = 0; engine < m_peerUsage.size(); ++engine) {
+        m_peerUsage[engine].inFlight += other.m_ownUsage[engine].inFlight - other.m_reportedUsage[engine].inFlight;
+        m_peerUsage[engine].pendingPrefill += other.m_ownUsage[engine].pendingPrefill - other.m_reportedUsage[engine].pendingPrefill;
+    }
+}
+
 void InstanceModel::applyPeerOutcomes(const InstanceModel& other, TimePoint now)
 {
     for (size_t engine = 0; engine < m_outcomes.size(); ++engine)
--- a/modules/borageslip_experiment/model/InstanceModel.h
+++ b/modules/borageslip_experiment/model/InstanceModel.h
@@ -34,7 +34,10 @@
     void removePendingPrefill(size_t engine, int64_t pendingPrefill) { m_ownUsage[engine].pendingPrefill -= pendingPrefill; }
 
     const std::vector<EngineUsage>& ownUsage() const { return m_ownUsage; }
-    std::vector<EngineUsage>& peerUsage() { return m_peerUsage; }
+    const std::vector<EngineUsage>& peerUsage() const { return m_peerUsage; }
+
+    /** Applies what has changed at another instance since its last report. */
+    void applyPeerUsage(const InstanceModel& other);
 
     /** This instance's own usage as of its last report, which is what its peers know. */
     const std::vector<EngineUsage>& reportedUsage() const { return m_reportedUsage; }
--- a/modules/borageslip_experiment/model/PlacementStrategy.cpp
+++ b/modules/borageslip_experiment/model/PlacementStrategy.cpp
@@ -27,34 +27,39 @@
         return best;
     }
 
-    std::optional<size_t> chooseAsProduct(std::span<const ServerCandidate> candidates, uint64_t affinity, uint64_t tieBreak)
+    std::optional<size_t> chooseAsProduct(std::span<const ServerCandidate> candidates, uint64_t affinity, uint64_t tieBreak, const ServerChoiceLimits& limits)
     {
-        const auto choice = chooseServer(candidates, affinity, tieBreak);
+        const auto choice = chooseServer(candidates, affinity, tieBreak, limits);
         return choice ? std::optional(choice->index) : std::nullopt;
     }
 
-    std::optional<size_t> chooseAtRandom(std::span<const ServerCandidate> candidates, uint64_t /*affinity*/, uint64_t tieBreak)
+    std::optional<size_t> chooseAtRandom(std::span<const ServerCandidate> candidates, uint64_t /*affinity*/, uint64_t tieBreak, const ServerChoiceLimits& /*limits*/)
     {
         return minimumBy(candidates, [&](const ServerCandidate& candidate) { return hashPair(tieBreak, candidate.hash); });
     }
 
-    std::optional<size_t> chooseLeastLoaded(std::span<const ServerCandidate> candidates, uint64_t /*affinity*/, uint64_t tieBreak)
+    std::optional<size_t> chooseLeastLoaded(std::span<const ServerCandidate> candidates, uint64_t /*affinity*/, uint64_t tieBreak, const ServerChoiceLimits& /*limits*/)
     {
         return minimumBy(candidates, [&](const ServerCandidate& candidate) { return std::pair(candidate.inFlight, hashPair(tieBreak, candidate.hash)); });
     }
 
-    std::optional<size_t> chooseByHash(std::span<const ServerCandidate> candidates, uint64_t affinity, uint64_t tieBreak)
+    std::optional<size_t> chooseByHash(std::span<const ServerCandidate> candidates, uint64_t affinity, uint64_t tieBreak, const ServerChoiceLimits& /*limits*/)
     {
         const auto key = affinity == 0 ? tieBreak : affinity;
         return minimumBy(candidates, [&](const ServerCandidate& candidate) { return -rendezvousScore(key, candidate.hash); });
     }
 
-    constexpr std::array<PlacementStrategy, 5> strategies { {
-        { "product", "rendezvous hashing on the prompt prefix with bounded loads, loads from reports", &chooseAsProduct, false },
-        { "all-knowing", "as product, with the current loads of all instances", &chooseAsProduct, true },
-        { "least-load", "the least loaded engine, loads from reports", &chooseLeastLoaded, false },
-        { "hashing", "rendezvous hashing on the prompt prefix without a load bound", &chooseByHash, false },
-        { "random", "any engine with a free slot", &chooseAtRandom, false },
+    using EvenLoad = PlacementStrategy::EvenLoad;
+
+    constexpr std::array<PlacementStrategy, 8> strategies { {
+        { "product", "rendezvous hashing on the prompt prefix with bounded loads, loads and speeds from reports", &chooseAsProduct, false, EvenLoad::Both },
+        { "equal-servers", "as product where servers state no speeds: as if they were equally fast and loads were current", &chooseAsProduct },
+        { "speeds", "as equal-servers, with shares by the speeds that responses state", &chooseAsProduct, false, EvenLoad::Speeds },
+        { "two-choices", "as equal-servers, with the better of two random engines while loads are old", &chooseAsProduct, false, EvenLoad::TwoChoices },
+        { "all-knowing", "as equal-servers, with the current loads of all instances", &chooseAsProduct, true },
+        { "least-load", "the least loaded engine, loads from reports", &chooseLeastLoaded },
+        { "hashing", "rendezvous hashing on the prompt prefix without a load bound", &chooseByHash },
+        { "random", "any engine with a free slot", &chooseAtRandom },
     } };
 
 }
--- a/modules/borageslip_experiment/pattern/LoadPattern.cpp
+++ b/modules/borageslip_experiment/pattern/LoadPattern.cpp
@@ -53,6 +53,17 @@
         return engine;
     }
 
+    EngineSpeeds speedsFrom(const json& object)
+    {
+        EngineSpeeds speeds;
+        speeds.slowEvery = object.value("slow_every", speeds.slowEvery);
+        speeds.slowFactor = object.value("slow_factor", speeds.slowFactor);
+        speeds.neighbourShare = object.value("neighbour_share", speeds.neighbourShare);
+        speeds.neighbourFactor = object.value("neighbour_factor", speeds.neighbourFactor);
+        speeds.neighbourTime = millis(object, "neighbour_ms", speeds.neighbourTime);
+        return speeds;
+    }
+
     PatternClass classFrom(const json& object)
     {
         PatternClass result;
@@ -115,6 +126,11 @@
     pattern.instances = document.value("instances", pattern.instances);
     pattern.engines = document.value("engines", pattern.engines);
     pattern.reportInterval = millis(document, "report_interval_ms", pattern.reportInterval);
+    // The product's interval between reports grows with the fleet, so that an instance receives the same number a second.
+    pattern.reportInterval = std::max(pattern.reportInterval, millis(document, "report_interval_ms_per_instance") * pattern.instances);
+    pattern.callerShares = document.value("caller_shares", pattern.callerShares);
+    pattern.speeds = speedsFrom(document.value("engine_speeds", json::object()));
+    pattern.coordinators = { document.contains("coordinator_round_trip_us"), micros(document, "coordinator_round_trip_us", {}) };
     pattern.engine = engineFrom(document.value("engine", json::object()));
     for (const auto& object : document.at("classes"))
         pattern.classes.push_back(classFrom(object));
--- a/modules/borageslip_experiment/pattern/LoadPattern.h
+++ b/modules/borageslip_experiment/pattern/LoadPattern.h
@@ -65,6 +65,21 @@
     bool isActive(Duration at) const { return start <= at && at < end; }
 };
 
+/** Differences between the engines of a pattern in how long their steps take. */
+struct EngineSpeeds {
+    int slowEvery = 0; ///< Every engine at such a position is slower than the others; 0 for none.
+    double slowFactor = 1; ///< Of the step time of these engines.
+    double neighbourShare = 0; ///< Share of the time in which a neighbour on the same machine slows an engine.
+    double neighbourFactor = 1; ///< Of the step time in that time.
+    Duration neighbourTime = std::chrono::milliseconds(600); ///< Mean duration of one slowdown.
+};
+
+/** Coordinators that grant or deny each request for their engines, as in the product. */
+struct CoordinatorModel {
+    bool isEnabled = false;
+    Duration roundTrip {}; ///< To the coordinator and back; it delays a request at each attempt.
+};
+
 /** Fleet, load and events of an experiment. @see loadPatternFromJson */
 struct LoadPattern {
     std::string name;
@@ -73,6 +88,9 @@
     int instances = 9;
     int engines = 10;
     Duration reportInterval = std::chrono::milliseconds(100); ///< Between two load reports of an instance to its peers.
+    std::vector<double> callerShares { 1 }; ///< Relative number of callers of the instances, repeated for all of them.
+    EngineSpeeds speeds;
+    CoordinatorModel coordinators;
     EngineModelSettings engine;
     std::vector<PatternClass> classes;
     std::vector<PatternEvent> events;
--- a/modules/borageslip_experiment/run/ExperimentOutcome.h
+++ b/modules/borageslip_experiment/run/ExperimentOutcome.h
@@ -31,6 +31,12 @@
     int rejections = 0; ///< All rejections, including those of callers that were served after a retry.
     int retries = 0; ///< Requests sent to another engine after a failure.
     int preemptions = 0;
+    int denials = 0; ///< By coordinators.
+    double busiestOverMean = 0; ///< Requests at the busiest engine over the mean of all engines in each second, averaged.
+    double busiestOverMeanHighest = 0; ///< Of the worst second.
+    double firstTokenP50 = 0; ///< Milliseconds from the first arrival, of all requests that got a first token.
+    double firstTokenP99 = 0;
+    double completionP99 = 0; ///< Milliseconds from the first arrival to the last token.
 
     ClassOutcome total() const;
     double reuseShare() const { return tokensShareable == 0 ? 1 : static_cast<double>(tokensReused) / static_cast<double>(tokensShareable); }
--- a/modules/borageslip_experiment/run/ExperimentTable.cpp
+++ b/modules/borageslip_experiment/run/ExperimentTable.cpp
@@ -58,14 +58,16 @@
             classes[name] = toJson(outcome);
         return { { "classes", classes }, { "tokens_generated", run.tokensGenerated }, { "tokens_prefilled", run.tokensPrefilled },
             { "tokens_prefilled_in_vain", run.tokensPrefillWasted }, { "tokens_reused", run.tokensReused }, { "tokens_shareable", run.tokensShareable },
-            { "rejections", run.rejections }, { "repeats", run.retries }, { "preemptions", run.preemptions } };
+            { "rejections", run.rejections }, { "repeats", run.retries }, { "preemptions", run.preemptions }, { "denials", run.denials },
+            { "busiest_over_mean", run.busiestOverMean }, { "busiest_over_mean_highest", run.busiestOverMeanHighest }, { "first_token_p50_ms", run.firstTokenP50 },
+            { "first_token_p99_ms", run.firstTokenP99 }, { "completion_p99_ms", run.completionP99 } };
     }
 
 }
 
 std::string experimentTable(std::span<const ExperimentSeries> all)
 {
-    std::string text = "| pattern | policy | on time | +/- | tokens delivered | rejections | failed | prefilled in vain | reuse |\n|---|---|---|---|---|---|---|---|---|\n";
+    std::string text = "| pattern | policy | on time | +/- | tokens delivered | rejections | failed | prefilled in vain | reuse | busiest/mean | worst second | first token p50 ms | p99 ms | completion p99 ms | denials |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
     for (const auto& series : all) {
         const std::vector<std::string> cells {
             series.pattern,
@@ -77,6 +79,12 @@
             formatNumber(meanOf(series, [](const auto& run) { return static_cast<double>(run.total().failed); }), 1),
             formatNumber(meanOf(series, [](const auto& run) { return run.wastedPrefillShare(); }), 3),
             formatNumber(meanOf(series, [](const auto& run) { return run.reuseShare(); }), 3),
+            formatNumber(meanOf(series, [](const auto& run) { return run.busiestOverMean; }), 2),
+            formatNumber(meanOf(series, [](const auto& run) { return run.busiestOverMeanHighest; }), 2),
+            formatNumber(meanOf(series, [](const auto& run) { return run.firstTokenP50; }), 0),
+            formatNumber(meanOf(series, [](const auto& run) { return run.firstTokenP99; }), 0),
+            formatNumber(meanOf(series, [](const auto& run) { return run.completionP99; }), 0),
+            formatNumber(meanOf(series, [](const auto& run) { return static_cast<double>(run.denials); }), 0),
         };
         text += row(cells);
     }
--- a/modules/borageslip_experiment/run/PolicyExperiment.cpp
+++ b/modules/borageslip_experiment/run/PolicyExperiment.cpp
@@ -18,6 +18,7 @@
     constexpr int maxCalls = 3; ///< By a caller that honours Retry-After.
     constexpr int maxImmediateCalls = 20; ///< By a caller that ignores Retry-After.
     constexpr Duration discoveryDelay = milliseconds(1000); ///< Time until the platform no longer lists a crashed engine.
+    constexpr int maxDenials = 4; ///< After which a request waits at its instance.
     constexpr double failureProbability = 0.5; ///< For each request at a failing engine.
 
     RequestId queueId(const CallerRequest& request)
@@ -25,11 +26,6 @@
         return RequestId(std::to_string(request.id));
     }
 
-    uint64_t prefixIdentity(size_t classIndex, uint64_t number)
-    {
-        return hashPair(classIndex + 1, number) | 1;
-    }
-
 }
 
 PolicyExperiment::PolicyExperiment(const LoadPattern& pattern, const PlacementStrategy& strategy, uint64_t seed)
@@ -38,8 +34,13 @@
     , m_random(seed)
     , m_engines(static_cast<size_t>(pattern.engines), EngineState(pattern.engine))
     , m_instances(static_cast<size_t>(pattern.instances), InstanceModel(static_cast<size_t>(pattern.engines), static_cast<size_t>(pattern.instances)))
+    , m_reservations(m_instances.size(), m_engines.size())
+    , m_observer(m_engines.size())
+    , m_planner(pattern, m_random)
 {
     planArrivals();
+    planSpeeds();
+    schedule(m_pattern.warmUp, EventType::Sample, 0);
     for (size_t i = 0; i < m_instances.size(); ++i) {
         schedule(m_pattern.reportInterval * i / m_instances.size(), EventType::Report, i);
         schedule(queueCheckInterval * i / m_instances.size(), EventType::QueueCheck, i);
@@ -50,72 +51,34 @@
     }
 }
 
-void PolicyExperiment::schedule(Duration at, EventType type, uint64_t subject)
-{
-    m_schedule.push({ at, ++m_lastSequenceNumber, type, subject });
-}
-
-double PolicyExperiment::rateFactor(const PatternClass& requestClass, Duration at) const
-{
-    double factor = 1;
-    for (const auto& event : m_pattern.events) {
-        const bool applies = (event.requestClass.empty() || event.requestClass == requestClass.name) && (event.account.empty() || event.account == requestClass.account);
-        if (event.kind == PatternEvent::Kind::Surge && applies && event.isActive(at))
-            factor *= event.factor;
-    }
-    return factor;
-}
-
-CallerRequest PolicyExperiment::drawRequest(const PatternClass& requestClass, size_t index, Duration at)
+void PolicyExperiment::planArrivals()
 {
-    const auto between = [&](const DrawRange& range) { return std::uniform_int_distribution<int64_t>(range.from, range.to)(m_random); };
-    CallerRequest request;
-    request.id = m_requests.size();
-    request.requestClass = &requestClass;
-    // Squaring skews the distribution, so that a quarter of the prefixes gets half of the requests.
-    auto prefix = static_cast<uint64_t>(std::pow(draw(), 2) * requestClass.prefixes);
-    request.promptTokens = between(requestClass.promptTokens);
-    request.outputTokens = std::max<int64_t>(1, between(requestClass.outputTokens));
-    request.firstArrival = at;
-    request.deadline = at + requestClass.timeout;
-    for (const auto& event : m_pattern.events) {
-        const bool isAffected = draw() < event.share;
-        if (!isAffected || !event.isActive(at))
-            continue;
-        if (event.kind == PatternEvent::Kind::HotPrefix)
-            prefix = 0;
-        else if (event.kind == PatternEvent::Kind::RetryAtOnce)
-            request.retriesImmediately = true;
-        else if (event.kind == PatternEvent::Kind::GiveUp)
-            schedule(at + event.giveUpAfter, EventType::Leave, request.id);
+    for (auto& arrival : m_planner.planArrivals()) {
+        m_requests.push_back(std::make_unique<CallerRequest>(std::move(arrival.request)));
+        const auto& request = *m_requests.back();
+        for (const auto leaving : arrival.leavesAt)
+            schedule(leaving, EventType::Leave, request.id);
+        schedule(request.firstArrival, EventType::Call, request.id);
     }
-    request.prefix = requestClass.prefixTokens == 0 ? 0 : prefixIdentity(index, prefix);
-    schedule(request.deadline, EventType::Leave, request.id);
-    return request;
 }
 
-void PolicyExperiment::planArrivals(const PatternClass& requestClass, size_t index)
+void PolicyExperiment::planSpeeds()
 {
-    double maxFactor = 1;
-    for (const auto& event : m_pattern.events)
-        maxFactor = event.kind == PatternEvent::Kind::Surge ? std::max(maxFactor, 1.0) * std::max(1.0, event.factor) : maxFactor;
-    // Thinning of a Poisson process: draws arrivals at the highest rate and keeps those that the current rate allows.
-    std::exponential_distribution<> gap(requestClass.rate * maxFactor);
-    for (double at = gap(m_random);; at += gap(m_random)) {
-        const auto when = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at));
-        if (when >= m_pattern.length)
-            return;
-        if (draw() * maxFactor >= rateFactor(requestClass, when))
-            continue;
-        m_requests.push_back(std::make_unique<CallerRequest>(drawRequest(requestClass, index, when)));
-        schedule(when, EventType::Call, m_requests.back()->id);
+    const auto& speeds = m_pattern.speeds;
+    for (size_t i = 0; i < m_engines.size(); ++i) {
+        const bool isSlow = speeds.slowEvery > 0 && i % static_cast<size_t>(speeds.slowEvery) == 0;
+        m_engines[i].speedFactor = isSlow ? speeds.slowFactor : 1;
+        m_engines[i].applySlowness();
+        for (const auto at : m_planner.planSlowdowns()) {
+            schedule(at, EventType::NeighbourStart, i);
+            schedule(at + speeds.neighbourTime, EventType::NeighbourEnd, i);
+        }
     }
 }
 
-void PolicyExperiment::planArrivals()
+void PolicyExperiment::schedule(Duration at, EventType type, uint64_t subject)
 {
-    for (size_t i = 0; i < m_pattern.classes.size(); ++i)
-        planArrivals(m_pattern.classes[i], i);
+    m_schedule.push({ at, ++m_lastSequenceNumber, type, subject });
 }
 
 ExperimentOutcome PolicyExperiment::run()
@@ -135,6 +98,7 @@
         m_outcome.tokensShareable += counts.shareable;
         m_outcome.preemptions += counts.preemptions;
     }
+    m_observer.writeTo(m_outcome);
     return m_outcome;
 }
 
@@ -145,6 +109,14 @@
         return call(*m_requests[next.subject]);
     case EventType::Leave:
         return leave(*m_requests[next.subject]);
+    case EventType::Submit:
+        return submit(*m_requests[next.subject]);
+    case EventType::Sample:
+        return sampleLoad();
+    case EventType::NeighbourStart:
+    case EventType::NeighbourEnd:
+        m_engines[next.subject].neighbourFactor = next.type == EventType::NeighbourStart ? m_pattern.speeds.neighbourFactor : 1;
+        return m_engines[next.subject].applySlowness();
     case EventType::StepEnd:
         return endStep(next.subject);
     case EventType::Report:
@@ -166,7 +138,7 @@
     request.arrival = m_now;
     request.sendCount = 0;
     request.triedEngines.clear();
-    request.instance = std::uniform_int_distribution<size_t>(0, m_instances.size() - 1)(m_random);
+    request.instance = m_planner.drawInstance();
     auto& instance = m_instances[request.instance];
     instance.retryBudget.recordRequest(now());
     instance.priorityReserve.recordArrival(request.requestPriority(), now());
@@ -207,6 +179,11 @@
         auto& request = requestOf(*first);
         if (!choose(request))
             break;
+        if (m_pattern.coordinators.isEnabled) {
+            if (!placeQueued(request))
+                break;
+            continue;
+        }
         instance.queue.pop();
         request.state = CallerRequest::State::Outside;
         if (!place(request) && request.state == CallerRequest::State::Outside)
@@ -216,17 +193,35 @@
         schedule(m_now + queueCheckInterval, EventType::QueueCheck, index);
 }
 
+bool PolicyExperiment::placeQueued(CallerRequest& request)
+{
+    request.state = CallerRequest::State::Outside;
+    const bool isPlaced = place(request) || request.state != CallerRequest::State::Outside;
+    if (isPlaced)
+        m_instances[request.instance].queue.remove(queueId(request));
+    else
+        request.state = CallerRequest::State::Queued;
+    return isPlaced;
+}
+
+void PolicyExperiment::sampleLoad()
+{
+    std::vector<int> inFlight;
+    for (size_t i = 0; i < m_engines.size(); ++i)
+        inFlight.push_back(m_reservations.total(i).inFlight);
+    m_observer.sample(inFlight);
+    if (m_now + LoadObserver::sampleInterval < m_pattern.length)
+        schedule(m_now + LoadObserver::sampleInterval, EventType::Sample, 0);
+}
+
 void PolicyExperiment::report(size_t index)
 {
-    // Each peer keeps only the sum over all other instances, so the change since the last report is added to it.
     for (size_t receiver = 0; receiver < m_instances.size(); ++receiver) {
-        if (receiver != index)
-            m_instances[receiver].applyPeerOutcomes(m_instances[index], now());
-        auto& sums = m_instances[receiver].peerUsage();
-        for (size_t engine = 0; engine < sums.size() && receiver != index; ++engine) {
-            sums[engine].inFlight += m_instances[index].ownUsage()[engine].inFlight - m_instances[index].reportedUsage()[engine].inFlight;
-            sums[engine].pendingPrefill += m_instances[index].ownUsage()[engine].pendingPrefill - m_instances[index].reportedUsage()[engine].pendingPrefill;
-        }
+        if (receiver == index)
+            continue;
+        m_instances[receiver].applyPeerOutcomes(m_instances[index], now());
+        m_instances[receiver].applyPeerUsage(m_instances[index]);
+        m_reservations.applyReport(index, receiver, m_instances[receiver].peerUsage(), m_now);
     }
     m_instances[index].markReported();
     m_instances[index].health.evaluate(now());
@@ -234,7 +229,7 @@
         schedule(m_now + m_pattern.reportInterval, EventType::Report, index);
 }
 
-std::optional<size_t> PolicyExperiment::choose(const CallerRequest& request)
+std::optional<size_t> PolicyExperiment::choose(const CallerRequest& request, std::span<const size_t> denied)
 {
     auto& instance = m_instances[request.instance];
     const auto tieBreak = hashPair(request.id + 1, static_cast<uint64_t>(request.callCount));
@@ -247,7 +242,11 @@
         ServerCandidate candidate;
         candidate.hash = InstanceModel::hashOf(i);
         candidate.slots = slots;
-        candidate.isExcluded = std::find(request.triedEngines.begin(), request.triedEngines.end(), candidate.hash) != request.triedEngines.end();
+        candidate.isExcluded = std::find(request.triedEngines.begin(), request.triedEngines.end(), candidate.hash) != request.triedEngines.end()
+            || std::find(denied.begin(), denied.end(), i) != denied.end();
+        if (m_strategy.usesSpeeds())
+            candidate.slowness = m_reservations.slowness(request.instance, i, now());
+        candidate.isLoadOutdated = m_pattern.coordinators.isEnabled && m_reservations.isOutdated(request.instance, i, m_now);
         candidate.isEjected = instance.isEjected(i, m_now) || instance.health.isAvoided(candidate.hash, tieBreak, now());
         const auto add = [&](const InstanceModel::EngineUsage& usage) {
             candidate.inFlight += usage.inFlight;
@@ -256,6 +255,8 @@
         if (m_strategy.usesCurrentLoads) {
             for (const auto& other : m_instances)
                 add(other.ownUsage()[i]);
+        } else if (m_pattern.coordinators.isEnabled) {
+            add(m_reservations.known(instance, request.instance, i));
         } else {
             add(instance.ownUsage()[i]);
             add(instance.peerUsage()[i]);
@@ -263,14 +264,39 @@
         candidates.push_back(candidate);
         engines.push_back(i);
     }
-    const auto chosen = m_strategy.choose(candidates, request.prefix, tieBreak);
+    ServerChoiceLimits limits;
+    if (m_strategy.usesTwoChoices())
+        limits.leastLoadedRule = leastLoadedRuleFor(m_pattern.reportInterval / 2);
+    const auto chosen = m_strategy.choose(candidates, request.prefix, tieBreak, limits);
     return chosen ? std::optional(engines[*chosen]) : std::nullopt;
 }
 
+std::optional<size_t> PolicyExperiment::reserve(CallerRequest& request)
+{
+    request.denials = 0;
+    if (!m_pattern.coordinators.isEnabled)
+        return choose(request);
+    auto& instance = m_instances[request.instance];
+    const int slots = instance.priorityReserve.slotsFor(request.requestPriority(), m_pattern.engine.slots, now());
+    const ReservationLimits limits { static_cast<uint32_t>(slots), request.prefix == 0 ? 0 : static_cast<uint64_t>(ServerChoiceLimits().pendingPrefill) };
+    std::vector<size_t> denied;
+    while (denied.size() < maxDenials) {
+        const auto engine = choose(request, denied);
+        if (!engine)
+            return std::nullopt;
+        if (m_reservations.decide(m_instances, request.instance, *engine, limits, m_now, now()))
+            return engine;
+        denied.push_back(*engine);
+        ++request.denials;
+        ++m_outcome.denials;
+    }
+    return std::nullopt;
+}
+
 bool PolicyExperiment::place(CallerRequest& request)
 {
     for (int i = 0; i < maxUnreachableEngines; ++i) {
-        const auto engine = choose(request);
+        const auto engine = reserve(request);
         if (!engine)
             return false;
         if (send(request, *engine))
@@ -303,10 +329,28 @@
     request.state = CallerRequest::State::AtEngine;
     request.pendingPrefill = instance.uncachedTokens(index, request);
     instance.begin(index, request.pendingPrefill);
+    m_reservations.add(index, { 1, request.pendingPrefill });
+    if (m_pattern.coordinators.isEnabled)
+        schedule(m_now + m_pattern.coordinators.roundTrip * (request.denials + 1), EventType::Submit, request.id);
+    else
+        submit(request);
+    return true;
+}
+
+void PolicyExperiment::submit(CallerRequest& request)
+{
+    if (request.state != CallerRequest::State::AtEngine)
+        return;
+    auto& engine = m_engines[request.engine];
+    if (engine.isDown) {
+        releaseEngine(request);
+        m_instances[request.instance].ejectUnreachable(request.engine, m_now);
+        return afterFailure(request);
+    }
+    request.sentAt = m_now;
     engine.model.submit({ request.id, request.prefix, request.requestClass->prefixTokens, request.promptTokens, request.outputTokens });
     if (!engine.isBusy)
-        startStep(index);
-    return true;
+        startStep(request.engine);
 }
 
 void PolicyExperiment::afterFailure(CallerRequest& request)
@@ -324,6 +368,7 @@
 
 void PolicyExperiment::clearPendingPrefill(CallerRequest& request)
 {
+    m_reservations.add(request.engine, { 0, -request.pendingPrefill });
     m_instances[request.instance].removePendingPrefill(request.engine, request.pendingPrefill);
     request.pendingPrefill = 0;
 }
@@ -331,6 +376,7 @@
 void PolicyExperiment::releaseEngine(CallerRequest& request)
 {
     clearPendingPrefill(request);
+    m_reservations.add(request.engine, { -1, 0 });
     m_instances[request.instance].end(request.engine);
 }
 
@@ -406,11 +452,17 @@
         request.hasDeliveredFirstToken = true;
         request.firstToken = m_now;
         clearPendingPrefill(request);
+        if (m_strategy.usesSpeeds())
+            m_reservations.recordSlowness(request.instance, request.engine, static_cast<int>(std::lround(m_engines[request.engine].slowness() * 100)), now());
+        if (isCounted(request))
+            m_observer.recordFirstToken(m_now - request.firstArrival);
         m_instances[request.instance].recordAnswer(request.engine, m_now - request.sentAt, timePoint(request.sentAt), now());
     }
     if (!item.isFinished)
         return;
     releaseEngine(request);
+    if (isCounted(request))
+        m_observer.recordCompletion(m_now - request.firstArrival);
     const bool isOnTime = request.firstToken - request.firstArrival <= request.requestClass->latencyObjective;
     end(request, isOnTime ? &ClassOutcome::onTime : &ClassOutcome::late);
 }
@@ -441,9 +493,10 @@
             crash(i);
         else if (event.kind == PatternEvent::Kind::Crash)
             m_engines[i].isDown = false;
-        else if (event.kind == PatternEvent::Kind::Slow)
-            m_engines[i].model.setStepTimeFactor(isStart ? event.factor : 1);
-        else if (event.kind == PatternEvent::Kind::Failing)
+        else if (event.kind == PatternEvent::Kind::Slow) {
+            m_engines[i].eventFactor = isStart ? event.factor : 1;
+            m_engines[i].applySlowness();
+        } else if (event.kind == PatternEvent::Kind::Failing)
             m_engines[i].isFailing = isStart;
     }
 }
--- a/modules/borageslip_experiment/run/PolicyExperiment.h
+++ b/modules/borageslip_experiment/run/PolicyExperiment.h
@@ -3,7 +3,10 @@
 #include "../model/EngineModel.h"
 #include "../model/InstanceModel.h"
 #include "../model/PlacementStrategy.h"
+#include "../model/ReservationModel.h"
+#include "ArrivalPlanner.h"
 #include "ExperimentOutcome.h"
+#include "LoadObserver.h"
 
 #include <memory>
 #include <queue>
@@ -25,9 +28,13 @@
     enum class EventType {
         Call, ///< A request arrives, for the first time or as a retry by its caller.
         Leave, ///< A caller gives up, or the deadline of its request passes.
+        Submit, ///< A request for which a reservation was requested reaches its engine.
         StepEnd, ///< An engine finishes a step.
         Report, ///< An instance reports its load to its peers.
         QueueCheck, ///< An instance rejects requests that have waited too long and places queued ones on free slots.
+        Sample, ///< The load of the engines is sampled.
+        NeighbourStart, ///< A neighbour begins to slow an engine.
+        NeighbourEnd,
         EventStart,
         EventEnd,
     };
@@ -46,6 +53,13 @@
         }
 
         EngineModel model;
+        /** Time that work currently takes, as a multiple of the usual time. */
+        double slowness() const { return speedFactor * neighbourFactor * eventFactor; }
+        void applySlowness() { model.setStepTimeFactor(slowness()); }
+
+        double speedFactor = 1;
+        double neighbourFactor = 1;
+        double eventFactor = 1;
         bool isBusy = false;
         bool isDown = false;
         bool isFailing = false;
@@ -55,9 +69,7 @@
     };
 
     void planArrivals();
-    void planArrivals(const PatternClass&, size_t index);
-    double rateFactor(const PatternClass&, Duration) const;
-    CallerRequest drawRequest(const PatternClass&, size_t index, Duration at);
+    void planSpeeds();
     void schedule(Duration at, EventType, uint64_t subject);
     void dispatch(const ScheduledEvent&);
 
@@ -68,7 +80,11 @@
     void checkQueue(size_t instance);
     void report(size_t instance);
     bool place(CallerRequest&);
-    std::optional<size_t> choose(const CallerRequest&);
+    std::optional<size_t> choose(const CallerRequest&, std::span<const size_t> denied = {});
+    std::optional<size_t> reserve(CallerRequest&);
+    void submit(CallerRequest&);
+    bool placeQueued(CallerRequest&);
+    void sampleLoad();
     bool send(CallerRequest&, size_t engine);
     void afterFailure(CallerRequest&);
     void reject(CallerRequest&);
@@ -95,6 +111,9 @@
     std::vector<std::unique_ptr<CallerRequest>> m_requests;
     std::vector<EngineState> m_engines;
     std::vector<InstanceModel> m_instances;
+    ReservationModel m_reservations;
+    LoadObserver m_observer;
+    ArrivalPlanner m_planner;
     ExperimentOutcome m_outcome;
 };
 
