Share the speeds that servers state, and place requests by them

Cause: the fourth figure of X-Instance-Load was parsed and not used.

Change: each instance records the figure of responses to it and adds it to its next report, as an eleventh element that older releases ignore. Choices and the coordinator's grants use the shares of the servers, and while loads are old the better of two random servers, only for services whose servers state a speed. Counters, a gauge and the log line service-speeds.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -628,6 +628,7 @@
             continue;
         }
         applyRateLimit(state, metadata);
+        m_engine.recordServerLoad(*state.server, metadata);
         if (metadata.isEncoded)
             co_return handleLostResponse(state, "response has a content encoding");
         if (metadata.isMisdirected)
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -263,17 +263,27 @@
         const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), admitted.hash, now);
         const int slots = keepsReserve ? PriorityReserve::unreservedSlots(server->description().slots) : server->description().slots;
         m_candidates.push_back({ server->hash(), server->inFlight(), slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
-            server->description().failureDomain == m_settings.failureDomain, m_reservationBroker != nullptr && server->isLoadOutdated() });
+            server->description().failureDomain == m_settings.failureDomain, m_reservationBroker != nullptr && server->isLoadOutdated(), server->slowness().factor(now) });
         m_candidateServers.push_back(server);
     }
     const auto affinity = admitted.route->reusesPrefixes ? admitted.affinity : 0;
-    const auto choice = chooseServer(m_candidates, affinity, admitted.hash, m_settings.choice);
+    auto limits = m_settings.choice;
+    if (m_servers.statesSlowness(admitted.service))
+        limits.leastLoadedRule = leastLoadedRuleFor(loadAge());
+    const auto choice = chooseServer(m_candidates, affinity, admitted.hash, limits);
     if (!choice)
         return {};
     ++m_counts.placements.at(static_cast<size_t>(choice->reason));
     return { m_candidateServers[choice->index], choice->reason };
 }
 
+void TrafficEngine::recordServerLoad(BackendServer& server, const ResponseMetadata& metadata)
+{
+    const bool isStated = !metadata.isMisdirected && metadata.load && metadata.load->slownessPercent;
+    if (isStated && !m_servers.recordSlowness(server, *metadata.load->slownessPercent))
+        ++m_counts.invalidSlowness;
+}
+
 size_t TrafficEngine::waitingCount() const
 {
     size_t count = 0;
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -135,6 +135,9 @@
         @param excluded hashes of the servers that must not be chosen. */
     ChosenServer choose(const AdmittedRequest&, std::span<const uint64_t> excluded);
 
+    /** Records what a response states of the load of its server. */
+    void recordServerLoad(BackendServer&, const ResponseMetadata&);
+
     /** The part of the request's prompt that other requests share. */
     static SharedPrefix sharedPrefix(const AdmittedRequest& admitted) { return { admitted.affinity, admitted.prefixTokens }; }
 
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -19,6 +19,7 @@
     uint64_t confirmationsMissed = 0; ///< Of these, the ones for which it was not confirmed in time.
     uint64_t rateLimitDenials = 0; ///< Reservations and slots that this instance denied because of the rate limit of a server.
     uint64_t invalidRateLimits = 0; ///< Responses with a rate limit that cannot be applied as it stands.
+    uint64_t invalidSlowness = 0; ///< Responses whose figure of their server's speed is not positive.
     uint64_t quarantineRejections = 0; ///< Requests that were not sent because of quarantined prompt parts.
     uint64_t promptTokens = 0; ///< Of requests sent to backend servers.
     uint64_t promptTokensCached = 0; ///< The part of promptTokens that was expected in the prefix cache of the server.
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -139,6 +139,15 @@
         return static_cast<size_t>(std::count_if(servers.begin(), servers.end(), [now](const auto& row) { return row.second->allowance().rateLimit(now).has_value(); }));
     }
 
+    constexpr double slowFactor = 1.1; ///< Smaller differences hardly change a server's share.
+
+    size_t slowServers(TrafficEngine& engine)
+    {
+        const auto now = engine.clock().now();
+        const auto& servers = engine.servers().all();
+        return static_cast<size_t>(std::count_if(servers.begin(), servers.end(), [now](const auto& row) { return row.second->slowness().factor(now) > slowFactor; }));
+    }
+
     MetricFamily servers(TrafficEngine& engine)
     {
         int ready = 0;
@@ -198,6 +207,8 @@
         gauge("borageslip_entry_rate_limited_servers", "Backend servers that have named a rate limit", static_cast<double>(rateLimitedServers(m_engine))),
         counter("borageslip_entry_rate_limit_denials_total", "Reservations that this coordinator denied because of the rate limit of a server", counts.rateLimitDenials),
         counter("borageslip_entry_rate_limits_invalid_total", "Responses with a rate limit that is no number or out of range", counts.invalidRateLimits),
+        gauge("borageslip_entry_slow_servers", "Backend servers that state that work takes more than 1.1 times as long as usual", static_cast<double>(slowServers(m_engine))),
+        counter("borageslip_entry_slowness_invalid_total", "Responses whose figure of their server's speed is not positive", counts.invalidSlowness),
         counter("borageslip_entry_server_crashes_total", "Crashes of backend servers with requests of this instance that they had not begun to answer", m_engine.crashDetector().crashCount()),
         counter("borageslip_entry_quarantine_rejections_total", "Requests rejected because of quarantined prompt parts", counts.quarantineRejections),
         gauge("borageslip_entry_quarantined_prompts", "Quarantined combinations of prompt parts", static_cast<double>(m_engine.quarantine().quarantined().size())),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -258,6 +258,7 @@
 {
     recordVersion(report.configurationVersion, sender);
     recordRateLimits(report.rateLimits);
+    m_engine.servers().recordPeerSlowness(report.slowness);
     for (const auto& prompt : report.quarantined)
         m_engine.quarantine().adopt(prompt);
     const auto changes = m_reportTable.apply(std::move(report), m_engine.clock().now());
@@ -473,6 +474,7 @@
         if (now - outcomes.changedAt < reportInterval() * outcomeReportRepeats)
             report.outcomes.push_back({ server->hash(), outcomes.answers, outcomes.failures });
     }
+    report.slowness = m_engine.servers().slownessSince(now - reportInterval());
     report.quarantined = m_engine.quarantine().quarantined();
     report.configurationVersion = m_engine.configurationVersion();
     const auto bytes = encodePeerReport(report);
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace borageslip {
 
@@ -41,6 +42,24 @@
         return limits;
     }
 
+    nlohmann::json slownessRows(std::span<const SlownessRow> statements)
+    {
+        auto rows = nlohmann::json::array();
+        for (const auto& statement : statements)
+            rows.push_back({ statement.server, static_cast<uint64_t>(std::max(0, statement.percent)), static_cast<uint64_t>(std::max<int64_t>(0, statement.age.count())) });
+        return rows;
+    }
+
+    bool areSlownessRows(const nlohmann::json& rows)
+    {
+        constexpr uint64_t largestPercent = std::numeric_limits<int>::max();
+        const auto isRow = [](const nlohmann::json& row) {
+            const bool hasFields = row.is_array() && row.size() == 3 && row[0].is_number_unsigned() && row[1].is_number_unsigned() && isTimeField(row[2]);
+            return hasFields && row[1].get<uint64_t>() <= largestPercent;
+        };
+        return rows.is_array() && std::all_of(rows.begin(), rows.end(), isRow);
+    }
+
     bool isTriple(const nlohmann::json& row)
     {
         return row.is_array() && row.size() == 3 && std::all_of(row.begin(), row.end(), [](const auto& number) { return number.is_number_unsigned(); });
@@ -75,6 +94,7 @@
     document.push_back(std::move(quarantined));
     document.push_back(report.configurationVersion);
     document.push_back(rateLimitRows(report.rateLimits));
+    document.push_back(slownessRows(report.slowness));
     return nlohmann::json::to_cbor(document);
 }
 
@@ -119,6 +139,12 @@
     if (!areRateLimits(document[9]))
         return malformed;
     report.rateLimits = rateLimitsFrom(document[9]);
+    if (document.size() == 10)
+        return report;
+    if (!areSlownessRows(document[10]))
+        return malformed;
+    for (const auto& row : document[10])
+        report.slowness.push_back({ row[0], row[1], std::chrono::milliseconds(row[2].get<int64_t>()) });
     return report;
 }
 
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -48,6 +48,15 @@
 /** Decodes a CBOR array whose first element is rateLimitsNoticeKind. Errors: InvalidMessage. */
 Result<RateLimitsNotice> rateLimitsNoticeFrom(const nlohmann::json&);
 
+/** What a response of a backend server to the sender has stated of its speed. */
+struct SlownessRow {
+    uint64_t server = 0; ///< Hash of the server's id.
+    int percent = 0; ///< Time that work takes there; 100: as usual.
+    std::chrono::milliseconds age { 0 }; ///< Since the response.
+
+    bool operator==(const SlownessRow&) const = default;
+};
+
 /** State that an instance sends periodically to all others, in one datagram. */
 struct PeerReport {
     std::string sender;
@@ -60,6 +69,8 @@
     std::vector<RateLimitRow> rateLimits {}; ///< As known to the sender.
     uint64_t configurationVersion = 0; ///< Of the configuration in force at the sender; 0 for none.
 
+    std::vector<SlownessRow> slowness {}; ///< Of the servers whose responses have stated it since the last report.
+
     bool operator==(const PeerReport&) const = default;
 };
 
--- a/modules/borageslip_traffic/peers/ReservationGrants.cpp
+++ b/modules/borageslip_traffic/peers/ReservationGrants.cpp
@@ -86,7 +86,7 @@
 
 bool ReservationGrants::canGrant(const BackendServer& server, const ServerUsage& usage, const ReservationLimits& limits) const
 {
-    const ReservationContext context { usage, m_engine.meanInFlight(server.description().service) };
+    const ReservationContext context { usage, m_engine.meanInFlight(server.description().service), m_engine.servers().capacityShare(server) };
     return server.isInService() && canGrantReservation(context, limits, m_engine.choiceLimits().capFactor);
 }
 
--- a/modules/borageslip_traffic/protocol/CallerProtocol.h
+++ b/modules/borageslip_traffic/protocol/CallerProtocol.h
@@ -44,7 +44,7 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
-    int slownessPercent = 100; ///< 100: requests take as long as usual on this server.
+    std::optional<int> slownessPercent {}; ///< 100: requests take as long as usual on this server.
 };
 
 /** Metadata from the status and header of a response. */
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -2,6 +2,7 @@
 
 #include "../net/ConnectionPool.h"
 #include <borageslip_scheduling/placement/RecentPrefixes.h>
+#include <borageslip_scheduling/placement/ServerSlowness.h>
 #include <borageslip_scheduling/servers/SendAllowance.h>
 
 #include <borageslip_core/time/Clock.h>
@@ -102,6 +103,10 @@
     /** Whether the coordinator has not stated the usage by the other instances recently. */
     bool isLoadOutdated() const { return m_clock.now() - m_usageStatedAt >= statedUsageLifetime; }
 
+    /** What its responses at all instances state of its speed. */
+    ServerSlowness& slowness() { return m_slowness; }
+    const ServerSlowness& slowness() const { return m_slowness; }
+
     void beginRequest() { ++m_ownInFlight; }
     void endRequest() { --m_ownInFlight; }
 
@@ -153,6 +158,7 @@
     int64_t m_ownPendingPrefill = 0;
     int64_t m_peersPendingPrefill = 0;
     TimePoint m_usageStatedAt {};
+    ServerSlowness m_slowness;
     std::unique_ptr<RecentPrefixes> m_recentPrefixes; ///< Null until the first prefix is recorded: few instances record prefixes of a server.
     Outcomes m_outcomes;
     int m_consecutiveFailures = 0;
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -149,6 +149,63 @@
     }
 }
 
+bool ServerTable::recordSlowness(BackendServer& server, int percent)
+{
+    return server.slowness().recordOwn({ percent, m_clock.now() });
+}
+
+void ServerTable::recordPeerSlowness(std::span<const SlownessRow> statements)
+{
+    for (const auto& row : statements) {
+        if (const auto found = m_byHash.find(row.server); found != m_byHash.end())
+            found->second->slowness().recordShared({ row.percent, m_clock.now() - row.age });
+    }
+}
+
+std::vector<SlownessRow> ServerTable::slownessSince(TimePoint since) const
+{
+    std::vector<SlownessRow> rows;
+    for (const auto& [id, server] : m_servers) {
+        const auto& last = server->slowness().lastOwn();
+        if (last.observedAt != TimePoint() && last.observedAt > since)
+            rows.push_back({ server->hash(), last.percent, std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - last.observedAt) });
+    }
+    return rows;
+}
+
+bool ServerTable::statesSlowness(std::string_view service) const
+{
+    const auto now = m_clock.now();
+    const auto servers = ofService(service);
+    return std::any_of(servers.begin(), servers.end(), [now](const auto& server) { return server->slowness().isKnown(now); });
+}
+
+double ServerTable::capacityShare(const BackendServer& server) const
+{
+    const auto now = m_clock.now();
+    std::vector<double> factors { server.slowness().factor(now) };
+    for (const auto& other : ofService(server.description().service)) {
+        if (other->isInService() && other->hash() != server.hash())
+            factors.push_back(other->slowness().factor(now));
+    }
+    return capacityShares(factors).front();
+}
+
+void ServerTable::logSlownessChanges()
+{
+    for (const auto& [service, servers] : m_byService) {
+        const bool isStated = statesSlowness(service);
+        const bool wasStated = m_statingServices.contains(service);
+        if (isStated == wasStated)
+            continue;
+        if (isStated)
+            m_statingServices.insert(service);
+        else
+            m_statingServices.erase(service);
+        logEvent(Severity::Info, "service-speeds", { { "service", service }, { "stated", isStated } });
+    }
+}
+
 void ServerTable::evaluateHealth()
 {
     for (auto& [service, health] : m_health) {
@@ -172,6 +229,7 @@
     removeExpired();
     forgetRemoved();
     evaluateHealth();
+    logSlownessChanges();
     for (const auto& [id, server] : m_servers)
         server->pool().closeStale();
 }
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -54,6 +55,21 @@
     /** Records outcomes reported by another instance: increases since its previous report. */
     void recordPeerOutcomes(std::span<const ServerOutcomes>);
 
+    /** Records what a response to this instance has stated of the server's speed. @return whether the figure is used. */
+    bool recordSlowness(BackendServer&, int percent);
+
+    /** Records statements of responses to another instance. */
+    void recordPeerSlowness(std::span<const SlownessRow>);
+
+    /** The last statement of each server in responses to this instance after the given time. */
+    std::vector<SlownessRow> slownessSince(TimePoint) const;
+
+    /** Whether a server of the service has stated its speed recently, which enables shares by speed. */
+    bool statesSlowness(std::string_view service) const;
+
+    /** Share of the work of its service that the server should hold. @see capacityShares */
+    double capacityShare(const BackendServer&) const;
+
     /** Health of the servers of one service, which are identified by their hashes. */
     ServerHealth& health(const std::string& service) { return m_health[service]; }
 
@@ -69,6 +85,7 @@
     void removeExpired();
     void forgetRemoved();
     void evaluateHealth();
+    void logSlownessChanges();
 
     const Clock& m_clock;
     boost::asio::any_io_executor m_executor;
@@ -77,6 +94,7 @@
     std::map<std::string, std::vector<BackendServerPtr>, std::less<>> m_byService;
     std::unordered_map<uint64_t, BackendServerPtr> m_byHash;
     std::map<std::string, ServerHealth, std::less<>> m_health;
+    std::set<std::string, std::less<>> m_statingServices; ///< Services whose servers state their speeds, as last logged.
     std::map<std::string, RemovedServer, std::less<>> m_removed; ///< By id; the platform may list them again.
     std::map<std::string, TimePoint, std::less<>> m_removalTimes; ///< Due times of scheduled removals, by server id.
 };
--- a/tests/borageslip_traffic/FleetPlacementTests.cpp
+++ b/tests/borageslip_traffic/FleetPlacementTests.cpp
@@ -29,6 +29,8 @@
     double lostMessages = 0; ///< Share of the messages between instances that are lost.
     int slots = 24; ///< Of each server.
     std::chrono::milliseconds prefixWait { 0 }; ///< How long a request waits for the server of its prefix.
+    ServerChoiceLimits choice {}; ///< Limits and rule of the instances' choices.
+    int slowEvery = 0; ///< Every server at such a position takes 1.5 times as long, which all instances know; 0 for none.
     unsigned seed = 1;
 };
 
@@ -46,6 +48,8 @@
             m_positions[m_hashes.emplace_back(hashBytes("server" + std::to_string(i)))] = i;
         for (size_t i = 0; i < load.instances; ++i)
             m_names.push_back("instance" + std::to_string(i));
+        for (size_t i = 0; i < load.servers; ++i)
+            m_slowness.push_back(slowness(i));
         for (size_t i = 0; i < load.servers; ++i)
             m_coordinators.push_back(*coordinatorOf(m_hashes[i], std::vector<std::string_view>(m_names.begin(), m_names.end())));
         for (size_t i = 0; i < load.instances; ++i) {
@@ -124,6 +128,7 @@
         TimePoint m_now {};
     };
 
+    double slowness(size_t server) const { return m_load.slowEvery > 0 && server % static_cast<size_t>(m_load.slowEvery) == 0 ? 1.5 : 1; }
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
     Duration seconds(double count) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count)); }
     Duration reportInterval() const { return 12ms * m_load.instances; }
@@ -153,7 +158,9 @@
     void scheduleArrival(TimePoint time)
     {
         at(time, [this] {
-            const uint64_t prefix = uniform() < m_load.popularShare ? 1 : 2 + m_random() % m_load.prefixes;
+            uint64_t prefix = uniform() < m_load.popularShare ? 1 : 2 + m_random() % std::max<size_t>(1, m_load.prefixes);
+            if (m_load.prefixes == 0)
+                prefix = 0;
             place({ m_random() % m_load.instances, prefix, m_clock.now() });
             scheduleArrival(m_clock.now() + seconds(std::exponential_distribution<double>(m_load.requestsPerSecond)(m_random)));
         });
@@ -178,9 +185,10 @@
             const bool isDenied = std::find(placement.denied.begin(), placement.denied.end(), i) != placement.denied.end();
             ServerCandidate candidate { m_hashes[i], instance.held(i), m_load.slots, 0, isDenied };
             candidate.isLoadOutdated = instance.isLoadOutdated(i, m_clock.now());
+            candidate.slowness = slowness(i);
             candidates.push_back(candidate);
         }
-        const auto choice = chooseServer(candidates, hashPair(7, placement.prefix), m_random());
+        const auto choice = chooseServer(candidates, placement.prefix == 0 ? 0 : hashPair(7, placement.prefix), m_random(), m_load.choice);
         if (!choice || placement.denied.size() >= maxDenials)
             return placeLater(placement);
         const auto server = choice->index;
@@ -220,7 +228,7 @@
 
     bool canGrant(size_t coordinator, size_t server, int requests)
     {
-        const ReservationContext context { { m_hashes[server], static_cast<uint32_t>(std::max(0, requests)), 0 }, m_instances[coordinator]->mean() };
+        const ReservationContext context { { m_hashes[server], static_cast<uint32_t>(std::max(0, requests)), 0 }, m_instances[coordinator]->mean(), capacityShares(m_slowness)[server] };
         return canGrantReservation(context, { static_cast<uint32_t>(m_load.slots), 0 }, capFactor);
     }
 
@@ -319,7 +327,7 @@
         ++m_held[server];
         ++m_total;
         const auto work = uniform() < 0.25 ? seconds(1 + uniform()) : seconds(0.2 + 0.5 * uniform());
-        at(m_clock.now() + work, [this, by, server] {
+        at(m_clock.now() + std::chrono::duration_cast<Duration>(work * slowness(server)), [this, by, server] {
             --m_held[server];
             --m_total;
             --m_instances[by]->own[server];
@@ -332,6 +340,7 @@
     SettableClock m_clock;
     TimePoint m_start = TimePoint() + 100s;
     std::vector<uint64_t> m_hashes;
+    std::vector<double> m_slowness;
     std::map<uint64_t, size_t> m_positions; ///< Positions of the servers by hash.
     std::vector<std::string> m_names;
     std::vector<size_t> m_coordinators; ///< Position of each server's coordinator among the instances.
@@ -422,3 +431,15 @@
     CHECK(SimulatedFleet(small).shareReadAgain(10s) <= allowedReadAgain);
     CHECK(SimulatedFleet(large).shareReadAgain(4s) <= allowedReadAgain);
 }
+
+// Guards against servers over the load cap when instances choose of two random servers and give slow ones a smaller share.
+TEST_CASE("instances stay within the load cap with random choices and servers of different speed", "[fleet][even]")
+{
+    FleetLoad load;
+    load.prefixes = GENERATE(size_t { 0 }, size_t { 400 });
+    load.popularShare = load.prefixes == 0 ? 0 : 0.14;
+    load.choice.leastLoadedRule = LeastLoadedRule::OfTwo;
+    load.slowEvery = 3;
+    CAPTURE(load.prefixes);
+    CHECK(SimulatedFleet(load).shareOverCap(6s) <= allowedShare);
+}
