--- a/modules/borageslip_experiment/model/ReservationModel.cpp
+++ b/modules/borageslip_experiment/model/ReservationModel.cpp
@@ -24,6 +24,15 @@
     m_totals[engine].pendingPrefill += change.pendingPrefill;
 }
 
+std::vector<int> ReservationModel::inFlight() const
+{
+    std::vector<int> requests;
+    requests.reserve(m_totals.size());
+    for (const auto& total : m_totals)
+        requests.push_back(total.inFlight);
+    return requests;
+}
+
 ReservationModel::EngineUsage ReservationModel::known(const InstanceModel& model, size_t instance, size_t engine) const
 {
     if (coordinator(engine) == instance)
--- a/modules/borageslip_experiment/model/ReservationModel.h
+++ b/modules/borageslip_experiment/model/ReservationModel.h
@@ -19,7 +19,9 @@
 
     /** Adds to the exact usage of an engine. */
     void add(size_t engine, const EngineUsage& change);
-    const EngineUsage& total(size_t engine) const { return m_totals[engine]; }
+
+    /** Requests at each engine. */
+    std::vector<int> inFlight() const;
 
     /** Usage of an engine as an instance knows it. */
     EngineUsage known(const InstanceModel&, size_t instance, size_t engine) const;
--- a/modules/borageslip_experiment/run/PolicyExperiment.cpp
+++ b/modules/borageslip_experiment/run/PolicyExperiment.cpp
@@ -206,10 +206,7 @@
 
 void PolicyExperiment::sampleLoad()
 {
-    std::vector<int> inFlight;
-    for (size_t i = 0; i < m_engines.size(); ++i)
-        inFlight.push_back(m_reservations.total(i).inFlight);
-    m_observer.sample(inFlight);
+    m_observer.sample(m_reservations.inFlight());
     if (m_now + LoadObserver::sampleInterval < m_pattern.length)
         schedule(m_now + LoadObserver::sampleInterval, EventType::Sample, 0);
 }
@@ -282,9 +279,7 @@
     std::vector<size_t> denied;
     while (denied.size() < maxDenials) {
         const auto engine = choose(request, denied);
-        if (!engine)
-            return std::nullopt;
-        if (m_reservations.decide(m_instances, request.instance, *engine, limits, m_now, now()))
+        if (!engine || m_reservations.decide(m_instances, request.instance, *engine, limits, m_now, now()))
             return engine;
         denied.push_back(*engine);
         ++request.denials;
--- a/tests/borageslip_scheduling/ServerSlownessTests.cpp
+++ b/tests/borageslip_scheduling/ServerSlownessTests.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-const TimePoint start = TimePoint() + 1h;
+constexpr TimePoint beginning = TimePoint() + 1h;
 
 std::vector<ServerCandidate> idleServers(size_t count, int inFlight = 4)
 {
@@ -132,17 +132,17 @@
 TEST_CASE("missing and absurd speeds are ignored or bounded", "[even]")
 {
     ServerSlowness slowness;
-    CHECK_FALSE(slowness.isKnown(start));
-    CHECK(slowness.factor(start) == ServerSlowness::usual);
-    CHECK_FALSE(slowness.recordOwn({ 0, start }));
-    CHECK_FALSE(slowness.recordOwn({ -5, start }));
-    slowness.recordShared({ 0, start });
-    CHECK_FALSE(slowness.isKnown(start));
-    CHECK(slowness.recordOwn({ 100000, start }));
-    CHECK(slowness.factor(start) == ServerSlowness::most);
+    CHECK_FALSE(slowness.isKnown(beginning));
+    CHECK(slowness.factor(beginning) == ServerSlowness::usual);
+    CHECK_FALSE(slowness.recordOwn({ 0, beginning }));
+    CHECK_FALSE(slowness.recordOwn({ -5, beginning }));
+    slowness.recordShared({ 0, beginning });
+    CHECK_FALSE(slowness.isKnown(beginning));
+    CHECK(slowness.recordOwn({ 100000, beginning }));
+    CHECK(slowness.factor(beginning) == ServerSlowness::most);
     ServerSlowness fast;
-    CHECK(fast.recordOwn({ 1, start }));
-    CHECK(fast.factor(start) == ServerSlowness::least);
+    CHECK(fast.recordOwn({ 1, beginning }));
+    CHECK(fast.factor(beginning) == ServerSlowness::least);
     // Even the most extreme speeds leave each server a part of the work.
     const std::vector<double> factors { ServerSlowness::most, ServerSlowness::least, ServerSlowness::least };
     CHECK(capacityShares(factors)[0] >= 0.15);
@@ -154,8 +154,8 @@
 {
     ServerSlowness slowness;
     for (int i = 0; i <= 10; ++i)
-        slowness.recordOwn({ 100, start + 200ms * i });
-    const auto burst = start + 2200ms;
+        slowness.recordOwn({ 100, beginning + 200ms * i });
+    const auto burst = beginning + 2200ms;
     slowness.recordShared({ 250, burst });
     CHECK(slowness.factor(burst) > 1.1);
     CHECK(slowness.factor(burst) < 1.3);
