--- a/modules/borageslip_experiment/model/PlacementStrategy.cpp
+++ b/modules/borageslip_experiment/model/PlacementStrategy.cpp
@@ -51,11 +51,13 @@
 
     using EvenLoad = PlacementStrategy::EvenLoad;
 
-    constexpr std::array<PlacementStrategy, 8> strategies { {
+    constexpr std::array<PlacementStrategy, 10> strategies { {
         { "product", "rendezvous hashing on the prompt prefix with bounded loads, loads and speeds from reports", &chooseAsProduct, false, EvenLoad::Both },
         { "equal-servers", "as product where servers state no speeds: as if they were equally fast and loads were current", &chooseAsProduct },
         { "speeds", "as equal-servers, with shares by the speeds that responses state", &chooseAsProduct, false, EvenLoad::Speeds },
         { "two-choices", "as equal-servers, with the better of two random engines while loads are old", &chooseAsProduct, false, EvenLoad::TwoChoices },
+        { "coordinated", "as equal-servers, with reservations granted by a coordinator of each engine", &chooseAsProduct, false, EvenLoad::None, true },
+        { "single-flight", "as coordinated; requests wait while their prefix is being prefilled", &chooseAsProduct, false, EvenLoad::None, true, true },
         { "all-knowing", "as equal-servers, with the current loads of all instances", &chooseAsProduct, true },
         { "least-load", "the least loaded engine, loads from reports", &chooseLeastLoaded },
         { "hashing", "rendezvous hashing on the prompt prefix without a load bound", &chooseByHash },
--- a/modules/borageslip_experiment/model/PlacementStrategy.h
+++ b/modules/borageslip_experiment/model/PlacementStrategy.h
@@ -23,6 +23,8 @@
         Both, ///< As the product does for servers that state their speeds.
     };
     EvenLoad evenLoad = EvenLoad::None;
+    bool hasCoordinators = false; ///< Each engine has a coordinator that grants requests and knows the prefixes sent to it.
+    bool sharesPrefills = false; ///< Requests wait while their prefix is being prefilled; needs coordinators.
 
     bool usesSpeeds() const { return evenLoad == EvenLoad::Speeds || evenLoad == EvenLoad::Both; }
     bool usesTwoChoices() const { return evenLoad == EvenLoad::TwoChoices || evenLoad == EvenLoad::Both; }
--- a/modules/borageslip_experiment/run/PolicyExperiment.cpp
+++ b/modules/borageslip_experiment/run/PolicyExperiment.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace borageslip {
 
@@ -15,10 +16,13 @@
     constexpr Duration immediateRetryDelay = milliseconds(100); ///< Before a caller that ignores Retry-After calls again.
     constexpr int maxSends = 2;
     constexpr int maxUnreachableEngines = 3;
+    constexpr int prefixTokensPerWait = 12; ///< Per millisecond of the longest wait for a prefix.
+    constexpr int prefixWaitDivisor = 3; ///< Of the latency objective; the longest wait for a prefix.
+    constexpr uint64_t pendingPrefillLimit = 24'000; ///< Tokens; the default of ServerChoiceLimits.
     constexpr int maxCalls = 3; ///< By a caller that honours Retry-After.
     constexpr int maxImmediateCalls = 20; ///< By a caller that ignores Retry-After.
     constexpr Duration discoveryDelay = milliseconds(1000); ///< Time until the platform no longer lists a crashed engine.
-    constexpr int maxDenials = 4; ///< After which a request waits at its instance.
+    constexpr int maxDenials = 4; ///< By coordinators, after which a request is queued.
     constexpr double failureProbability = 0.5; ///< For each request at a failing engine.
 
     RequestId queueId(const CallerRequest& request)
@@ -89,6 +93,14 @@
         m_now = next.at;
         dispatch(next);
     }
+    std::set<uint64_t> prefixes;
+    for (const auto& request : m_requests) {
+        if (!request->wasSubmitted)
+            continue;
+        m_outcome.tokensLeast += request->promptTokens;
+        if (request->prefix != 0 && prefixes.insert(request->prefix).second)
+            m_outcome.tokensLeast += request->requestClass->prefixTokens;
+    }
     for (const auto& engine : m_engines) {
         const auto& counts = engine.model.counts();
         m_outcome.tokensGenerated += counts.generated;
@@ -110,7 +122,10 @@
     case EventType::Leave:
         return leave(*m_requests[next.subject]);
     case EventType::Submit:
-        return submit(*m_requests[next.subject]);
+        // The caller may have left in the meantime.
+        if (m_requests[next.subject]->state == CallerRequest::State::AtEngine)
+            submit(*m_requests[next.subject]);
+        return;
     case EventType::Sample:
         return sampleLoad();
     case EventType::NeighbourStart:
@@ -121,6 +136,8 @@
         return endStep(next.subject);
     case EventType::Report:
         return report(next.subject);
+    case EventType::PrefixWaitEnd:
+        return endPrefixWait(*m_requests[next.subject]);
     case EventType::QueueCheck:
         return checkQueue(next.subject);
     case EventType::EventStart:
@@ -177,9 +194,9 @@
         reject(requestOf(queued));
     while (const auto* first = instance.queue.front()) {
         auto& request = requestOf(*first);
-        if (!choose(request))
+        if (!choose(request, request.deniedEngines))
             break;
-        if (m_pattern.coordinators.isEnabled) {
+        if (usesReservationModel()) {
             if (!placeQueued(request))
                 break;
             continue;
@@ -243,7 +260,7 @@
             || std::find(denied.begin(), denied.end(), i) != denied.end();
         if (m_strategy.usesSpeeds())
             candidate.slowness = m_reservations.slowness(request.instance, i, now());
-        candidate.isLoadOutdated = m_pattern.coordinators.isEnabled && m_reservations.isOutdated(request.instance, i, m_now);
+        candidate.isLoadOutdated = usesReservationModel() && m_reservations.isOutdated(request.instance, i, m_now);
         candidate.isEjected = instance.isEjected(i, m_now) || instance.health.isAvoided(candidate.hash, tieBreak, now());
         const auto add = [&](const InstanceModel::EngineUsage& usage) {
             candidate.inFlight += usage.inFlight;
@@ -252,11 +269,13 @@
         if (m_strategy.usesCurrentLoads) {
             for (const auto& other : m_instances)
                 add(other.ownUsage()[i]);
-        } else if (m_pattern.coordinators.isEnabled) {
+        } else if (usesReservationModel()) {
             add(m_reservations.known(instance, request.instance, i));
         } else {
+            candidate.isLoadOutdated = m_strategy.hasCoordinators && instance.isLoadOutdated(i, now());
+            const bool isStated = m_strategy.hasCoordinators && !candidate.isLoadOutdated;
             add(instance.ownUsage()[i]);
-            add(instance.peerUsage()[i]);
+            add(isStated ? instance.statedUsage(i).usage : instance.peerUsage()[i]);
         }
         candidates.push_back(candidate);
         engines.push_back(i);
@@ -271,8 +290,8 @@
 std::optional<size_t> PolicyExperiment::reserve(CallerRequest& request)
 {
     request.denials = 0;
-    if (!m_pattern.coordinators.isEnabled)
-        return choose(request);
+    if (!usesReservationModel())
+        return choose(request, request.deniedEngines);
     auto& instance = m_instances[request.instance];
     const int slots = instance.priorityReserve.slotsFor(request.requestPriority(), m_pattern.engine.slots, now());
     const ReservationLimits limits { static_cast<uint32_t>(slots), request.prefix == 0 ? 0 : static_cast<uint64_t>(ServerChoiceLimits().pendingPrefill) };
@@ -290,10 +309,17 @@
 
 bool PolicyExperiment::place(CallerRequest& request)
 {
-    for (int i = 0; i < maxUnreachableEngines; ++i) {
+    request.deniedEngines.clear();
+    for (int i = 0; i < maxUnreachableEngines;) {
         const auto engine = reserve(request);
-        if (!engine)
+        if (!engine || request.deniedEngines.size() >= maxDenials)
             return false;
+        if (m_strategy.hasCoordinators && !m_engines[*engine].isDown && !isGranted(request, *engine)) {
+            request.deniedEngines.push_back(*engine);
+            ++m_outcome.denials;
+            continue;
+        }
+        ++i;
         if (send(request, *engine))
             return true;
         if (request.state == CallerRequest::State::Ended)
@@ -302,6 +328,94 @@
     return false;
 }
 
+InstanceModel::EngineUsage PolicyExperiment::totalUsage(size_t engine) const
+{
+    InstanceModel::EngineUsage total;
+    for (const auto& instance : m_instances) {
+        total.inFlight += instance.ownUsage()[engine].inFlight;
+        total.pendingPrefill += instance.ownUsage()[engine].pendingPrefill;
+    }
+    return total;
+}
+
+bool PolicyExperiment::isGranted(const CallerRequest& request, size_t engine)
+{
+    auto& instance = m_instances[request.instance];
+    const auto total = totalUsage(engine);
+    const auto& own = instance.ownUsage()[engine];
+    instance.statedUsage(engine) = { { total.inFlight - own.inFlight, total.pendingPrefill - own.pendingPrefill }, now() };
+    int inFlight = 0;
+    for (size_t i = 0; i < m_engines.size(); ++i)
+        inFlight += instance.ownUsage()[i].inFlight + instance.peerUsage()[i].inFlight;
+    const ReservationContext context { { InstanceModel::hashOf(engine), static_cast<uint32_t>(std::max(0, total.inFlight)), static_cast<uint64_t>(std::max<int64_t>(0, total.pendingPrefill)) },
+        static_cast<double>(inFlight) / static_cast<double>(m_engines.size()) };
+    const int slots = instance.priorityReserve.slotsFor(request.requestPriority(), m_pattern.engine.slots, now());
+    return canGrantReservation(context, { static_cast<uint32_t>(slots), request.prefix == 0 ? 0 : pendingPrefillLimit }, ServerChoiceLimits {}.capFactor);
+}
+
+void PolicyExperiment::submit(CallerRequest& request)
+{
+    auto& engine = m_engines[request.engine];
+    if (engine.isDown) {
+        releaseEngine(request);
+        m_instances[request.instance].ejectUnreachable(request.engine, m_now);
+        return afterFailure(request);
+    }
+    request.state = CallerRequest::State::AtEngine;
+    request.sentAt = m_now;
+    request.wasSubmitted = true;
+    engine.model.submit({ request.id, request.prefix, request.requestClass->prefixTokens, request.promptTokens, request.outputTokens });
+    if (!engine.isBusy)
+        startStep(request.engine);
+}
+
+bool PolicyExperiment::awaitsPrefix(CallerRequest& request)
+{
+    const auto tokens = request.requestClass->prefixTokens;
+    if (!m_strategy.sharesPrefills || request.prefix == 0 || !PrefixFlights::isShared(static_cast<uint64_t>(tokens)))
+        return false;
+    request.prefillsPrefix = request.pendingPrefill > request.promptTokens;
+    if (request.prefillsPrefix) {
+        m_prefixFlights.begin(prefixAt(request), request.id, static_cast<uint64_t>(tokens), now());
+        return false;
+    }
+    const auto until = m_prefixFlights.wait(prefixAt(request), { request.id, request.id }, now());
+    if (!until)
+        return false;
+    const Duration willing = std::min<Duration>(milliseconds(tokens / prefixTokensPerWait), request.requestClass->latencyObjective / prefixWaitDivisor);
+    request.state = CallerRequest::State::AwaitingPrefix;
+    schedule(m_now + std::min<Duration>(willing, *until - now()), EventType::PrefixWaitEnd, request.id);
+    return true;
+}
+
+void PolicyExperiment::endPrefixWait(CallerRequest& request)
+{
+    if (request.state == CallerRequest::State::AwaitingPrefix)
+        submit(request);
+}
+
+void PolicyExperiment::endPrefill(CallerRequest& request, bool isFinished)
+{
+    if (!std::exchange(request.prefillsPrefix, false))
+        return;
+    if (isFinished) {
+        for (const auto id : m_prefixFlights.finish(prefixAt(request), request.id, now()))
+            endPrefixWait(*m_requests[id]);
+        return;
+    }
+    const auto failure = m_prefixFlights.fail(prefixAt(request), request.id, now());
+    if (!failure.next)
+        return;
+    auto& next = *m_requests[*failure.next];
+    next.prefillsPrefix = true;
+    if (next.state != CallerRequest::State::AwaitingPrefix)
+        return endPrefill(next, false);
+    m_instances[next.instance].removePendingPrefill(next.engine, -next.requestClass->prefixTokens);
+    m_reservations.add(next.engine, { 0, next.requestClass->prefixTokens });
+    next.pendingPrefill += next.requestClass->prefixTokens;
+    submit(next);
+}
+
 bool PolicyExperiment::send(CallerRequest& request, size_t index)
 {
     auto& engine = m_engines[index];
@@ -321,33 +435,19 @@
         afterFailure(request);
         return true;
     }
-    request.state = CallerRequest::State::AtEngine;
     request.pendingPrefill = instance.uncachedTokens(index, request);
+    if (m_strategy.hasCoordinators)
+        request.pendingPrefill = request.promptTokens + (request.prefix == 0 || engine.prefixes.record(request.prefix) ? 0 : request.requestClass->prefixTokens);
     instance.begin(index, request.pendingPrefill);
     m_reservations.add(index, { 1, request.pendingPrefill });
-    if (m_pattern.coordinators.isEnabled)
+    if (usesReservationModel()) {
+        request.state = CallerRequest::State::AtEngine;
         schedule(m_now + m_pattern.coordinators.roundTrip * (request.denials + 1), EventType::Submit, request.id);
-    else
+    } else if (!awaitsPrefix(request))
         submit(request);
     return true;
 }
 
-void PolicyExperiment::submit(CallerRequest& request)
-{
-    if (request.state != CallerRequest::State::AtEngine)
-        return;
-    auto& engine = m_engines[request.engine];
-    if (engine.isDown) {
-        releaseEngine(request);
-        m_instances[request.instance].ejectUnreachable(request.engine, m_now);
-        return afterFailure(request);
-    }
-    request.sentAt = m_now;
-    engine.model.submit({ request.id, request.prefix, request.requestClass->prefixTokens, request.promptTokens, request.outputTokens });
-    if (!engine.isBusy)
-        startStep(request.engine);
-}
-
 void PolicyExperiment::afterFailure(CallerRequest& request)
 {
     request.state = CallerRequest::State::Outside;
@@ -393,10 +493,13 @@
         return;
     if (request.state == CallerRequest::State::Queued)
         m_instances[request.instance].queue.remove(queueId(request));
+    if (request.state == CallerRequest::State::AwaitingPrefix)
+        releaseEngine(request);
     if (request.state == CallerRequest::State::AtEngine) {
         m_outcome.tokensPrefillWasted += m_engines[request.engine].model.prefilledFor(request.id);
         m_engines[request.engine].model.cancel(request.id);
         releaseEngine(request);
+        endPrefill(request, false);
     }
     end(request, m_now < request.deadline ? &ClassOutcome::gaveUp : &ClassOutcome::timedOut);
 }
@@ -447,6 +550,7 @@
         request.hasDeliveredFirstToken = true;
         request.firstToken = m_now;
         clearPendingPrefill(request);
+        endPrefill(request, true);
         if (m_strategy.usesSpeeds())
             m_reservations.recordSlowness(request.instance, request.engine, static_cast<int>(std::lround(m_engines[request.engine].slowness() * 100)), now());
         if (isCounted(request))
@@ -469,15 +573,27 @@
     engine.downSince = m_now;
     engine.isBusy = false;
     ++engine.crashCount;
+    engine.prefixes = {};
+    const auto waiting = m_prefixFlights.drop(InstanceModel::hashOf(index));
     for (const auto& [id, prefilled] : engine.model.crash()) {
         auto& request = *m_requests[id];
         if (request.state != CallerRequest::State::AtEngine)
             continue;
         m_outcome.tokensPrefillWasted += prefilled;
         releaseEngine(request);
+        request.prefillsPrefix = false;
         m_instances[request.instance].ejectUnreachable(index, m_now);
         afterFailure(request);
     }
+    for (const auto id : waiting) {
+        auto& request = *m_requests[id];
+        if (request.state != CallerRequest::State::AwaitingPrefix)
+            continue;
+        releaseEngine(request);
+        request.state = CallerRequest::State::Outside;
+        if (!place(request) && request.state == CallerRequest::State::Outside)
+            enqueue(request);
+    }
 }
 
 void PolicyExperiment::applyEvent(const PatternEvent& event, bool isStart)
--- a/modules/borageslip_experiment/run/PolicyExperiment.h
+++ b/modules/borageslip_experiment/run/PolicyExperiment.h
@@ -8,6 +8,9 @@
 #include "ExperimentOutcome.h"
 #include "LoadObserver.h"
 
+#include <borageslip_scheduling/placement/PrefixFlights.h>
+#include <borageslip_scheduling/placement/ReservationCoordinator.h>
+
 #include <memory>
 #include <queue>
 #include <random>
@@ -31,6 +34,7 @@
         Submit, ///< A request for which a reservation was requested reaches its engine.
         StepEnd, ///< An engine finishes a step.
         Report, ///< An instance reports its load to its peers.
+        PrefixWaitEnd, ///< A request has waited for its prefix for as long as it may.
         QueueCheck, ///< An instance rejects requests that have waited too long and places queued ones on free slots.
         Sample, ///< The load of the engines is sampled.
         NeighbourStart, ///< A neighbour begins to slow an engine.
@@ -65,6 +69,7 @@
         bool isFailing = false;
         Duration downSince {};
         uint64_t crashCount = 0; ///< Identifies steps that started before a crash; their output is discarded.
+        RecentPrefixes prefixes; ///< As its coordinator knows them.
         std::vector<StepOutput> output; ///< Of the current step, delivered when it ends.
     };
 
@@ -80,12 +85,20 @@
     void checkQueue(size_t instance);
     void report(size_t instance);
     bool place(CallerRequest&);
-    std::optional<size_t> choose(const CallerRequest&, std::span<const size_t> denied = {});
+    /** Whether the coordinators of the pattern grant requests; those of the strategy take precedence. */
+    bool usesReservationModel() const { return m_pattern.coordinators.isEnabled && !m_strategy.hasCoordinators; }
+    std::optional<size_t> choose(const CallerRequest&, std::span<const size_t> denied);
     std::optional<size_t> reserve(CallerRequest&);
-    void submit(CallerRequest&);
     bool placeQueued(CallerRequest&);
     void sampleLoad();
     bool send(CallerRequest&, size_t engine);
+    bool isGranted(const CallerRequest&, size_t engine);
+    InstanceModel::EngineUsage totalUsage(size_t engine) const;
+    void submit(CallerRequest&);
+    bool awaitsPrefix(CallerRequest&);
+    void endPrefixWait(CallerRequest&);
+    void endPrefill(CallerRequest&, bool isFinished);
+    PrefixAtServer prefixAt(const CallerRequest& request) const { return { InstanceModel::hashOf(request.engine), request.prefix }; }
     void afterFailure(CallerRequest&);
     void reject(CallerRequest&);
     void releaseEngine(CallerRequest&);
@@ -114,6 +127,7 @@
     ReservationModel m_reservations;
     LoadObserver m_observer;
     ArrivalPlanner m_planner;
+    PrefixFlights m_prefixFlights;
     ExperimentOutcome m_outcome;
 };
 
--- a/modules/borageslip_scheduling/placement/ServerChoice.cpp
+++ b/modules/borageslip_scheduling/placement/ServerChoice.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <tuple>
 #include <vector>
 
@@ -65,6 +66,28 @@
         return eligible;
     }
 
+    bool isWithinAffinityLimits(const ServerCandidate& candidate, double limit, const ServerChoiceLimits& limits)
+    {
+        return candidate.inFlight < limit && candidate.pendingPrefill < limits.pendingPrefill;
+    }
+
+    /** Keeps the eligible candidates that come before all others, whatever their loads. */
+    void keepBestRank(std::span<const ServerCandidate> candidates, std::vector<size_t>& eligible, const ServiceLoad& load, const ServerChoiceLimits& limits)
+    {
+        const bool hasLimited = std::any_of(eligible.begin(), eligible.end(), [&](size_t i) { return candidates[i].isLimitedWhileCold; });
+        // Cold servers without a limit come last; limited ones come before warm ones that have too much to do.
+        const auto rank = [&](size_t i) {
+            const auto& candidate = candidates[i];
+            if (candidate.isCold)
+                return candidate.isLimitedWhileCold ? 1 : 3;
+            return hasLimited && !isWithinAffinityLimits(candidate, load.limit(i, limits.affinityFactor, limits.affinityMargin), limits) ? 2 : 0;
+        };
+        int best = std::numeric_limits<int>::max();
+        for (const auto i : eligible)
+            best = std::min(best, rank(i));
+        std::erase_if(eligible, [&](size_t i) { return rank(i) != best; });
+    }
+
     /** Keeps two of the eligible candidates, drawn with a probability in proportion to their shares. */
     void keepTwo(std::span<const ServerCandidate> candidates, std::vector<size_t>& eligible, const ServiceLoad& load, uint64_t tieBreak)
     {
@@ -79,7 +102,7 @@
     {
         const auto key = [&](size_t i) {
             const auto& candidate = candidates[i];
-            return std::tuple(candidate.isCold, candidate.inFlight / load.share(i), !candidate.isInOwnDomain, hashPair(tieBreak, candidate.hash));
+            return std::tuple(candidate.inFlight / load.share(i), !candidate.isInOwnDomain, hashPair(tieBreak, candidate.hash));
         };
         return *std::min_element(eligible.begin(), eligible.end(), [&](size_t first, size_t second) { return key(first) < key(second); });
     }
@@ -105,7 +128,7 @@
             const auto& candidate = candidates[index];
             if (candidate.isExcluded || candidate.isEjected || candidate.isCold)
                 continue;
-            const bool isWithinLimits = isWithinCap(candidate, load.limit(index, limits.capFactor, capMargin)) && candidate.inFlight < load.limit(index, limits.affinityFactor, limits.affinityMargin) && candidate.pendingPrefill < limits.pendingPrefill;
+            const bool isWithinLimits = isWithinCap(candidate, load.limit(index, limits.capFactor, capMargin)) && isWithinAffinityLimits(candidate, load.limit(index, limits.affinityFactor, limits.affinityMargin), limits);
             if (isWithinLimits || candidate.isLoadOutdated)
                 return ServerChoice { index, isFirst ? ChoiceReason::Affinity : ChoiceReason::Spill };
         }
@@ -138,6 +161,7 @@
     }
     if (eligible.empty())
         return std::nullopt;
+    keepBestRank(candidates, eligible, load, limits);
     if (limits.leastLoadedRule == LeastLoadedRule::OfTwo)
         keepTwo(candidates, eligible, load, tieBreak);
     return ServerChoice { leastLoaded(candidates, eligible, load, tieBreak), ChoiceReason::LeastLoaded };
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -101,6 +101,15 @@
         return family;
     }
 
+    MetricFamily coldPermitRequests(const TrafficCounts& counts)
+    {
+        constexpr std::array<const char*, reservationOutcomeCount> names { "granted", "denied", "unanswered" };
+        auto family = makeFamily("borageslip_entry_cold_permit_requests_total", "Permits for cold servers requested from other instances, by outcome", MetricType::Counter);
+        for (size_t i = 0; i < names.size(); ++i)
+            addSample(family, "outcome", names.at(i), static_cast<double>(counts.coldPermitRequests.at(i)));
+        return family;
+    }
+
     MetricFamily slotRequests(const TrafficCounts& counts)
     {
         constexpr std::array<const char*, SlotTicket::outcomeCount> names { "withdrawn", "granted", "rejected", "unanswered" };
@@ -152,11 +161,14 @@
     {
         int ready = 0;
         int draining = 0;
+        int evacuated = 0;
         int ejected = 0;
         int lowered = 0;
         const auto now = engine.clock().now();
         for (const auto& [id, server] : engine.servers().all()) {
-            if (!server->isInService())
+            if (server->isEvacuated())
+                ++evacuated;
+            else if (!server->isInService())
                 ++draining;
             else if (server->isEjected(now))
                 ++ejected;
@@ -164,7 +176,7 @@
                 ++(engine.servers().health(server->description().service).hasReducedShare(server->hash()) ? lowered : ready);
         }
         auto family = makeFamily("borageslip_entry_servers", "Backend servers, by state", MetricType::Gauge);
-        for (const auto& [state, count] : { std::pair("ready", ready), std::pair("draining", draining), std::pair("ejected", ejected), std::pair("lowered", lowered) })
+        for (const auto& [state, count] : { std::pair("ready", ready), std::pair("draining", draining), std::pair("evacuated", evacuated), std::pair("ejected", ejected), std::pair("lowered", lowered) })
             addSample(family, "state", state, count);
         return family;
     }
@@ -197,6 +209,9 @@
         placements(counts),
         reservationRequests(counts),
         counter("borageslip_entry_reservation_waits_total", "Reservation requests that waited for a slot of the server that has their prompt prefix", counts.reservationWaits),
+        counter("borageslip_entry_prefix_waits_total", "Granted requests that waited while another one prefilled their prompt prefix", counts.prefixWaits),
+        counter("borageslip_entry_prefix_waits_expired_total", "Requests that waited for a prompt prefix and were sent without news of its prefill", counts.prefixWaitsExpired),
+        counter("borageslip_entry_prefills_failed_total", "Failed prefills of shared prompt prefixes that this coordinator was told of", counts.prefillsFailed),
         slotRequests(counts),
         counter("borageslip_entry_prompt_tokens_total", "Prompt tokens of requests sent to backend servers", counts.promptTokens),
         counter("borageslip_entry_prompt_tokens_cached_total", "Prompt tokens expected to be cached where they were sent", counts.promptTokensCached),
@@ -204,11 +219,19 @@
         counter("borageslip_entry_retries_denied_total", "Repeats that the shared budget did not allow", counts.retriesDenied),
         counter("borageslip_entry_confirmations_total", "Refusals that waited for the configuration to be confirmed", counts.confirmations),
         counter("borageslip_entry_confirmations_missed_total", "Refusals for which the configuration was not confirmed in time", counts.confirmationsMissed),
+        gauge("borageslip_entry_evacuated_domains", "Failure domains that are evacuated", static_cast<double>(m_engine.evacuation().activeCount())),
+        counter("borageslip_entry_evacuation_abandons_total", "Attempts given up before the request was written, because the server was evacuated", counts.evacuationAbandons),
+        counter("borageslip_entry_evacuation_rejections_total", "Requests rejected because all servers of their service are evacuated", counts.evacuationRejections),
         gauge("borageslip_entry_rate_limited_servers", "Backend servers that have named a rate limit", static_cast<double>(rateLimitedServers(m_engine))),
         counter("borageslip_entry_rate_limit_denials_total", "Reservations that this coordinator denied because of the rate limit of a server", counts.rateLimitDenials),
         counter("borageslip_entry_rate_limits_invalid_total", "Responses with a rate limit that is no number or out of range", counts.invalidRateLimits),
         gauge("borageslip_entry_slow_servers", "Backend servers that state that work takes more than 1.1 times as long as usual", static_cast<double>(slowServers(m_engine))),
         counter("borageslip_entry_slowness_invalid_total", "Responses whose figure of their server's speed is not positive", counts.invalidSlowness),
+        gauge("borageslip_entry_cold_servers", "Backend servers that get requests only with permits, because they are cold", static_cast<double>(m_engine.coldServers().limitedCount())),
+        gauge("borageslip_entry_cold_shares", "Quota shares of cold servers that this instance holds", static_cast<double>(m_peers.coldPermits().rights().heldCount(m_engine.clock().now()))),
+        coldPermitRequests(counts),
+        counter("borageslip_entry_cold_permits_total", "Permits for cold servers that this instance issued", counts.coldPermitsIssued),
+        counter("borageslip_entry_cold_sends_withheld_total", "Requests that were not written to a cold server for want of a valid permit", counts.coldSendsWithheld),
         counter("borageslip_entry_server_crashes_total", "Crashes of backend servers with requests of this instance that they had not begun to answer", m_engine.crashDetector().crashCount()),
         counter("borageslip_entry_quarantine_rejections_total", "Requests rejected because of quarantined prompt parts", counts.quarantineRejections),
         gauge("borageslip_entry_quarantined_prompts", "Quarantined combinations of prompt parts", static_cast<double>(m_engine.quarantine().quarantined().size())),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -44,6 +44,7 @@
     , m_grants(engine, m_reportTable, *this, m_ownName)
     , m_requests(engine, *this, m_grants, m_ownName, m_incarnation)
     , m_coordination(engine.clock(), *this, m_ownName, m_incarnation, engine.choiceLimits().capFactor)
+    , m_coldPermits(engine, *this, m_ownName)
 {
     m_engine.setReservationBroker(this);
     m_engine.setPromptHealthListener(this);
@@ -76,7 +77,7 @@
     return std::max<Duration>(minReportInterval, reportIntervalPerMember * m_members.size());
 }
 
-void PeerLink::setMember(Member member)
+void PeerLink::setMember(Member member, MemberListing listing)
 {
     if (member.name == m_ownName)
         return;
@@ -87,7 +88,7 @@
     }
     logEvent(Severity::Info, "member-listed", { { "member", member.name } });
     const auto name = member.name;
-    m_members[name] = { std::move(member), m_engine.clock().now() };
+    m_members[name] = { std::move(member), listing == MemberListing::Written ? m_engine.clock().now() : TimePoint() };
     m_requests.forgetTimeouts(name);
     m_coordinators.clear();
     m_reportTable.setLifetime(std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
@@ -209,14 +210,18 @@
             m_grants.receiveReservationMessage(content, sender);
         else if constexpr (std::is_same_v<Content, ReservationReply>)
             m_requests.receiveReservationReply(content);
+        else if constexpr (std::is_same_v<Content, PrefillEndNotice>)
+            m_grants.receivePrefillEnd(content);
         else if constexpr (std::is_same_v<Content, ServerCrashNotice>)
             m_engine.quarantine().recordCrash(content.crash);
         else if constexpr (std::is_same_v<Content, ClearedPartsNotice>)
             m_engine.quarantine().clear(content.cleared);
         else if constexpr (std::is_same_v<Content, ConfigurationNotice>)
-            recordVersion(content.version, sender);
+            receiveConfigurationNotice(content, sender);
         else if constexpr (std::is_same_v<Content, RateLimitsNotice>)
             recordRateLimits(content.limits);
+        else if constexpr (std::is_same_v<Content, ColdPermitRequest> || std::is_same_v<Content, ColdPermitReply> || std::is_same_v<Content, ColdServerNotice>)
+            m_coldPermits.receive(content, sender);
         else
             receiveCoordination(content, sender);
     },
@@ -247,6 +252,11 @@
     sendToAll(encodeConfigurationNotice({ m_ownName, version }));
 }
 
+void PeerLink::announceEvacuation(uint64_t revision)
+{
+    sendToAll(encodeConfigurationNotice({ m_ownName, m_engine.configurationVersion(), revision }));
+}
+
 void PeerLink::recordVersion(uint64_t version, const udp::endpoint& sender)
 {
     // An instance serves its copy of the store's keys on the TCP port of the same number.
@@ -254,6 +264,13 @@
         m_versionListener->versionAnnounced({ sender.address(), sender.port() }, version);
 }
 
+void PeerLink::receiveConfigurationNotice(const ConfigurationNotice& notice, const udp::endpoint& sender)
+{
+    recordVersion(notice.version, sender);
+    if (m_versionListener != nullptr && notice.evacuationRevision != 0)
+        m_versionListener->evacuationAnnounced({ sender.address(), sender.port() }, notice.evacuationRevision);
+}
+
 void PeerLink::receiveReport(PeerReport report, const udp::endpoint& sender)
 {
     recordVersion(report.configurationVersion, sender);
@@ -282,6 +299,11 @@
     }
 }
 
+void PeerLink::notifyPrefillEnded(const BackendServer& server, uint64_t prefix, PrefillEnd end)
+{
+    m_requests.notifyPrefillEnded(server, prefix, end);
+}
+
 void PeerLink::send(std::span<const uint8_t> bytes, const udp::endpoint& to)
 {
     // A failed send is handled like a lost datagram.
@@ -310,6 +332,12 @@
     m_requests.notifyUsageChanged(server);
 }
 
+void PeerLink::onEvacuationChanged()
+{
+    m_grants.denyEvacuated();
+    m_requests.endWaitsForEvacuated();
+}
+
 std::unique_ptr<SlotTicket> PeerLink::requestSlot(SlotDemand demand, std::function<void()> onDecision)
 {
     return m_coordination.requestSlot(std::move(demand), std::move(onDecision));
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -3,6 +3,7 @@
 #include "../configuration/ConfigurationRefresh.h"
 #include "../engine/TrafficEngine.h"
 #include "../net/AutoResetEvent.h"
+#include "ColdPermits.h"
 #include "Member.h"
 #include "PeerReportTable.h"
 #include "ReservationGrants.h"
@@ -30,7 +31,7 @@
 
     The report interval grows with the number of members, so that the rate of datagrams that an instance sends and
     receives does not depend on the size of the fleet. Not thread-safe: call it from the event loop that owns it. */
-class PeerLink final : public ReservationBroker, private CoordinationHost, private ReservationHost, private PromptHealthListener {
+class PeerLink final : public ReservationBroker, private CoordinationHost, private ReservationHost, private PromptHealthListener, private ColdPermits::Transport {
 public:
     /** @param ownCapacity network capacity of this instance in Mbit/s; 0 when unknown. */
     PeerLink(TrafficEngine&, std::string ownName, double ownCapacity = 0);
@@ -42,8 +43,8 @@
         cannot be bound. */
     Status open(const boost::asio::ip::udp::endpoint&);
 
-    /** Adds or updates a member; the own instance is ignored. */
-    void setMember(Member);
+    /** Adds or updates a member; the own instance is ignored. A restored one gets no callers before it is heard. */
+    void setMember(Member, MemberListing = MemberListing::Written);
 
     /** Removes a member that the store no longer lists. One that is still heard and accepts callers is removed when its
         messages end: the store may reject it, so that its lease expires while it serves callers. */
@@ -54,6 +55,7 @@
     public:
         virtual ~VersionListener() = default;
         virtual void versionAnnounced(const boost::asio::ip::tcp::endpoint& instance, uint64_t version) = 0;
+        virtual void evacuationAnnounced(const boost::asio::ip::tcp::endpoint& instance, uint64_t revision) = 0;
     };
 
     /** Sets who is told of versions; null for nobody. The listener must outlive the link. */
@@ -62,6 +64,9 @@
     /** Tells all other instances that a configuration was read from the store. */
     void announceConfiguration(uint64_t version);
 
+    /** Tells all other instances that a change of the evacuations was read from the store. */
+    void announceEvacuation(uint64_t revision);
+
     /** Sets whether callers may be directed to this instance; a change is reported at once. */
     void setAcceptsCallers(bool);
 
@@ -71,7 +76,9 @@
 
     boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, ReservationDemand) override;
     void notifyUsageChanged(BackendServer&) override;
+    void notifyPrefillEnded(const BackendServer&, uint64_t prefix, PrefillEnd) override;
     void notifyRateLimit(const BackendServer&) override;
+    void onEvacuationChanged() override;
     std::unique_ptr<SlotTicket> requestSlot(SlotDemand, std::function<void()> onDecision) override;
 
     /** Sources from which this instance reads the store, in order of preference; nothing stands for the store itself.
@@ -79,6 +86,10 @@
         @see rankedStoreSources */
     std::vector<StoreSource> storeSources(const Member& own) const;
 
+    /** Permits for cold servers. */
+    ColdPermits& coldPermits() { return m_coldPermits; }
+    const ColdPermits& coldPermits() const { return m_coldPermits; }
+
     size_t livePeerCount() const { return m_reportTable.livePeerCount(m_engine.clock().now()); }
     Duration oldestReportAge() const { return m_reportTable.maxReportAge(m_engine.clock().now()); }
     size_t memberCount() const { return m_members.size(); }
@@ -120,6 +131,7 @@
     Duration reportInterval() const;
     void receive(PeerMessage, const boost::asio::ip::udp::endpoint& sender);
     void receiveReport(PeerReport, const boost::asio::ip::udp::endpoint& sender);
+    void receiveConfigurationNotice(const ConfigurationNotice&, const boost::asio::ip::udp::endpoint& sender);
     void recordVersion(uint64_t version, const boost::asio::ip::udp::endpoint& sender);
     template <typename Message>
     void receiveCoordination(const Message&, const boost::asio::ip::udp::endpoint& sender);
@@ -143,6 +155,13 @@
     void serverCrashed(const ServerCrash&) override;
     void partsCleared(const PromptFingerprint&) override;
 
+    void sendDatagram(std::span<const uint8_t> bytes, const boost::asio::ip::udp::endpoint& to) override
+    {
+        if (m_socket.is_open())
+            send(bytes, to);
+    }
+    void sendDatagramToAll(std::span<const uint8_t> bytes) override { sendToAll(bytes); }
+
     bool isOpen() const override { return m_socket.is_open(); }
     bool acceptsCallers() const override { return m_acceptsCallers; }
     std::vector<ReservationPeer> reservationPeers() const override;
@@ -169,6 +188,7 @@
     ReservationGrants m_grants;
     ReservationRequests m_requests;
     ServiceCoordination m_coordination;
+    ColdPermits m_coldPermits;
 };
 
 }
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../net/ConnectionPool.h"
+#include <borageslip_scheduling/cold/ColdState.h>
 #include <borageslip_scheduling/placement/RecentPrefixes.h>
 #include <borageslip_scheduling/placement/ServerSlowness.h>
 #include <borageslip_scheduling/servers/SendAllowance.h>
@@ -24,6 +25,7 @@
     bool isDraining = false; ///< Whether it gets no new requests.
     std::chrono::milliseconds coldTimeLeft { 0 }; ///< Remaining time in which it is slow after its start.
     int64_t startedAtMs = 0; ///< Unix time of its start; a different one under the same id is a new incarnation.
+    uint64_t sequence = 0; ///< Rises with each entry that one incarnation writes; 0 if it does not count them.
 
     bool operator==(const ServerDescription&) const = default;
 };
@@ -39,7 +41,11 @@
     ConnectionPool& pool() { return m_pool; }
 
     /** Whether new requests may be sent to it. */
-    bool isInService() const { return !m_isRemoved && !m_description.isDraining && !m_allowance.isLeaving(); }
+    bool isInService() const { return !m_isRemoved && !m_description.isDraining && !m_isEvacuated && !m_allowance.isLeaving(); }
+
+    /** Sets whether its failure domain is evacuated, and closes its idle connections if so. */
+    void setEvacuated(bool);
+    bool isEvacuated() const { return m_isEvacuated; }
 
     /** What it has said of the requests that it accepts. */
     SendAllowance& allowance() { return m_allowance; }
@@ -67,7 +73,14 @@
     void inherit(const BackendServer&);
 
     /** Whether it is still slow after its start. */
-    bool isCold(TimePoint now) const { return now < m_coldUntil; }
+    bool isCold(TimePoint now) const { return m_cold.isCold(now); }
+
+    /** Assumes that it is cold for a time from now, for example because its failure domain returns to service. */
+    void assumeColdFor(Duration time) { m_cold.assume(time, m_clock.now()); }
+
+    /** The indications that it is cold. */
+    ColdState& coldState() { return m_cold; }
+    const ColdState& coldState() const { return m_cold; }
 
     /** Whether it is temporarily ejected after failures, so that requests prefer other servers. */
     bool isEjected(TimePoint now) const { return now < m_ejectedUntil; }
@@ -121,6 +134,9 @@
         @return whether the prefix was recently sent before, in which case the server has probably cached it. */
     bool recordPrefix(uint64_t affinity);
 
+    /** Records that it has not cached the prefix, because the request with it failed. */
+    void forgetPrefix(uint64_t affinity);
+
     /** Totals of this instance's requests that it answered or failed, since this instance knows it. */
     struct Outcomes {
         uint32_t answers = 0;
@@ -143,13 +159,12 @@
 private:
     static constexpr Duration statedUsageLifetime = std::chrono::milliseconds(100); ///< A small part of the duration of a stream.
 
-    void setCold(std::chrono::milliseconds left);
-
     ServerDescription m_description;
     const Clock& m_clock;
     uint64_t m_hash;
     ConnectionPool m_pool;
     bool m_isRemoved = false;
+    bool m_isEvacuated = false;
     SendAllowance m_allowance;
     TimePoint m_deferredUntil {};
     uint64_t m_deferredPrefix = 0; ///< Prefix tokens of the denied request.
@@ -162,7 +177,7 @@
     std::unique_ptr<RecentPrefixes> m_recentPrefixes; ///< Null until the first prefix is recorded: few instances record prefixes of a server.
     Outcomes m_outcomes;
     int m_consecutiveFailures = 0;
-    TimePoint m_coldUntil {};
+    ColdState m_cold;
     TimePoint m_ejectedUntil {};
 };
 
--- a/tests/platform/PlatformDocumentsTests.cpp
+++ b/tests/platform/PlatformDocumentsTests.cpp
@@ -1,3 +1,4 @@
+#include <platform/ColdShareDocuments.h>
 #include <platform/PlatformProtocol.h>
 #include <platform/PlatformSettings.h>
 #include <platform/StoreDocuments.h>
@@ -51,6 +52,33 @@
     CHECK(configuration.accountForKey("k")->name == "t");
 }
 
+// Guards against an evacuation by a malformed value, and against one at a deployment whose settings do not know of it.
+TEST_CASE("the documents of an evacuation are parsed, and evacuation is disabled without its setting", "[evacuation]")
+{
+    CHECK(isOk(parseEvacuation("{}")));
+    CHECK(isOk(parseEvacuation(R"({"reason":"power"})")));
+    for (const auto* text : { "", "[]", "{", "null", "1", "\"{}\"" })
+        CHECK_FALSE(isOk(parseEvacuation(text)));
+
+    auto document = settingsDocument();
+    CHECK_FALSE(value(parseSettings(document.dump())).maxEvacuationDelay);
+    CHECK(value(parseSettings(document.dump())).maxOperatorDelay() == std::chrono::milliseconds(2000));
+    document["bounds"]["evacuate_ms"] = 1500;
+    document["zones"] = { { "a", "north" }, { "b", "south" } };
+    document["region"] = "north";
+    const auto settings = value(parseSettings(document.dump()));
+    CHECK(settings.maxEvacuationDelay == std::chrono::milliseconds(1500));
+    CHECK(settings.maxOperatorDelay() == std::chrono::milliseconds(1500));
+    CHECK(settings.regionOfDomain.at("b") == "south");
+    CHECK(settings.region == "north");
+
+    auto configuration = configurationDocument();
+    configuration["backends"][0]["cold_start_s"] = 1.5;
+    const auto parsed = parseConfiguration(configuration.dump());
+    CHECK(value(parsed).service("p")->coldStart == std::chrono::milliseconds(1500));
+    CHECK(value(parsed).service("q")->coldStart == std::chrono::milliseconds(0));
+}
+
 TEST_CASE("a configuration with a missing field or a field of the wrong type is an error, not a default")
 {
     for (const auto* name : { "version", "routes", "backends" }) {
@@ -154,3 +182,48 @@
     REQUIRE(stated.load);
     CHECK(stated.load->slownessPercent == 120);
 }
+
+// Guards against a limit for cold servers that is lost on the way from the operator's documents.
+TEST_CASE("the figures for cold servers are parsed, and are off by default")
+{
+    auto document = configurationDocument();
+    document["backends"][0]["cold_per_s"] = 18;
+    document["backends"][0]["cold_start_s"] = 2.5;
+    const auto configuration = parseConfiguration(document.dump());
+    REQUIRE(isOk(configuration));
+    CHECK(value(configuration).service("p")->coldRequestsPerSecond == 18);
+    CHECK(value(configuration).service("p")->coldStart == std::chrono::milliseconds(2500));
+    CHECK(value(configuration).service("q")->coldRequestsPerSecond == 0);
+    auto settings = settingsDocument();
+    settings["bounds"]["cold_overage"] = 1.25;
+    settings["bounds"]["cold_slack"] = 7;
+    const auto parsed = parseSettings(settings.dump());
+    REQUIRE(isOk(parsed));
+    CHECK(value(parsed).coldBound.overage == 1.25);
+    CHECK(value(parsed).coldBound.slack == 7);
+    HttpFields fields;
+    CHECK_FALSE(PlatformProtocol().responseMetadata(200, fields).coldTimeLeft);
+    fields.set("X-Cold-Ms", "1500");
+    CHECK(PlatformProtocol().responseMetadata(200, fields).coldTimeLeft == std::chrono::milliseconds(1500));
+}
+
+// Guards against keys of quota shares that another instance does not find, and against markers that are taken for shares.
+TEST_CASE("keys and records of quota shares are read as they were written")
+{
+    const ColdShareId id { "a/b", 7 };
+    CHECK(parseColdShareId(coldShareKey(id)) == id);
+    CHECK(parseColdShareMarker(coldShareMarkerKey(id)) == id);
+    CHECK_FALSE(parseColdShareId(coldShareMarkerKey(id)));
+    CHECK_FALSE(parseColdShareMarker(coldShareKey(id)));
+    for (const auto* key : { "borageslip/cold/", "borageslip/cold/7", "borageslip/cold/a/", "borageslip/cold/a/-1", "borageslip/cold/a/1x", "servers/a/1" })
+        CHECK_FALSE(parseColdShareId(key));
+    const ColdShareRecord record { "entry-1", { boost::asio::ip::make_address("10.0.0.1"), 7340 }, "c0ffee" };
+    const auto parsed = parseColdShareRecord(serializeColdShareRecord(record));
+    REQUIRE(isOk(parsed));
+    CHECK(value(parsed).holder == record.holder);
+    CHECK(value(parsed).peerAddress == record.peerAddress);
+    CHECK(value(parsed).claim == record.claim);
+    const auto malformed = parseColdShareKey(coldShareKey(id), "[]", 4);
+    REQUIRE(malformed);
+    CHECK(malformed->claim.empty());
+}
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -37,6 +37,7 @@
     """Key-value store with revisions, a change history for watches, and leases."""
 
     def __init__(self):
+        self.era = 0  # Stated in all answers once it is not 0.
         self.items = {}
         self.history = []
         self.revision = 10
@@ -60,8 +61,8 @@
         if key not in self.items:
             return
         self.revision += 1
-        del self.items[key]
-        self._record({"key": key, "revision": self.revision, "deleted": True})
+        had_lease = bool(self.items.pop(key)["lease"])
+        self._record({"key": key, "revision": self.revision, "deleted": True, **({"had_lease": True} if had_lease else {})})
 
     def put_json(self, key, document):
         self.put(key, json.dumps(document).encode())
@@ -111,16 +112,21 @@
             self._end_lease(int(url.path.split("/")[3]))
             return response(200, b"{}")
         if call == "kv-txn":
-            rows = json.loads(body)["puts"]
+            document = json.loads(body)
+            rows = document["puts"]
             if self.lost_puts > 0 and any(row["lease"] for row in rows):
                 self.lost_puts -= 1
-                asyncio.get_running_loop().call_later(self.late_by, self._write, rows)
+                asyncio.get_running_loop().call_later(self.late_by, self._write, rows, document)
                 return None
-            return self._write(rows)
+            return self._write(rows, document)
         return response(404)
 
-    def _write(self, rows):
+    def _write(self, rows, document):
         self._expire()
+        if any((self.items[row["key"]]["revision"] if row["key"] in self.items else 0) != row["revision"] for row in document["expected_revision"]):
+            return response(412)
+        for key in document["remove"]:
+            self.remove(key)
         for row in rows:
             if row["lease"] and row["lease"] not in self.leases:
                 return response(404)
@@ -132,7 +138,8 @@
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             self._expire()
-            if after < self.oldest_revision:
+            is_unknown = self.era and after > self.revision
+            if after < self.oldest_revision or is_unknown:
                 return response(410)
             events = [event for event in self.history if event["revision"] > after and event["key"].startswith(query["path_prefix"])]
             remaining = deadline - time.monotonic()
@@ -147,7 +154,18 @@
         """Serves connections that fail as `rejection_mode` says: "busy", "silent", or None for normal service."""
         await self.serve(reader, writer, lambda: self.rejection_mode)
 
-    async def serve(self, reader, writer, rejection_mode=lambda: None):
+    def begin_call(self, instance, line):
+        """Called before each call. @see RestorableStore"""
+
+    def end_call(self, instance, call, answer):
+        """Returns the answer to send."""
+        return answer
+
+    async def serve_instance(self, instance, reader, writer):
+        """Serves the connections of one instance, whose calls are checked."""
+        await self.serve(reader, writer, instance=instance)
+
+    async def serve(self, reader, writer, rejection_mode=lambda: None, instance=None):
         while True:
             message = await read_message(reader)
             if message is None:
@@ -165,11 +183,12 @@
                 while self.is_down:
                     await asyncio.sleep(0.05)
                 break
+            self.begin_call(instance, message[0])
             answer = await self.answer(message[0], message[2])
             if answer is None:  # A connection on which an answer is lost returns nothing further.
                 await reader.read()
                 break
-            writer.write(answer)
+            writer.write(self.end_call(instance, name, answer))
             await writer.drain()
         writer.close()
 
@@ -226,7 +245,8 @@
         self.crashes = 0
         self.is_leaving = False  # Stated in all responses, while the platform still lists it as ready.
         self.retry_after = 1.5  # Seconds; of the behaviour "paused".
-        self.arrivals = []  # Time and request id, of the behaviour "paused" and while it has a rate limit.
+        self.arrivals = []  # Time and request id, of the behaviour "paused" and while it has a rate limit or states cold_ms.
+        self.cold_ms = None  # Stated in all responses.
         self.rate_limit = None  # Text of the rate limit that it names in all responses.
         self.listener = None
         self.writers = set()
@@ -270,6 +290,9 @@
             if self.rate_limit is not None:
                 own_headers.append(("Server-Limit", self.rate_limit))
                 self.arrivals.append((asyncio.get_running_loop().time(), headers.get("x-request-id", "")))
+            if self.cold_ms is not None:
+                own_headers.append(("X-Cold-Ms", str(self.cold_ms)))
+                self.arrivals.append((asyncio.get_running_loop().time(), headers.get("x-request-id", "")))
             if self.behaviour == "paused":
                 self.arrivals.append((asyncio.get_running_loop().time(), headers.get("x-request-id", "")))
                 writer.write(response(503, headers=own_headers + [("X-Not-Executed", "1"), ("Retry-After", str(self.retry_after))]))
