--- a/modules/borageslip_experiment/model/CallerRequest.h
+++ b/modules/borageslip_experiment/model/CallerRequest.h
@@ -41,6 +41,7 @@
     bool prefillsPrefix = false; ///< Whether other requests may wait for it.
     bool wasSubmitted = false; ///< To any engine.
     int64_t pendingPrefill = 0; ///< Prompt tokens that the instance counts as pending at the engine until the first token.
+    int denials = 0; ///< By coordinators in the current placement.
     Duration sentAt {};
     Duration firstToken {};
     bool hasDeliveredFirstToken = false;
--- a/modules/borageslip_experiment/model/InstanceModel.h
+++ b/modules/borageslip_experiment/model/InstanceModel.h
@@ -42,7 +42,10 @@
     bool isLoadOutdated(size_t engine, TimePoint now) const { return now - m_statedUsage[engine].at >= std::chrono::milliseconds(100); }
 
     const std::vector<EngineUsage>& ownUsage() const { return m_ownUsage; }
-    std::vector<EngineUsage>& peerUsage() { return m_peerUsage; }
+    const std::vector<EngineUsage>& peerUsage() const { return m_peerUsage; }
+
+    /** Applies what has changed at another instance since its last report. */
+    void applyPeerUsage(const InstanceModel& other);
 
     /** This instance's own usage as of its last report, which is what its peers know. */
     const std::vector<EngineUsage>& reportedUsage() const { return m_reportedUsage; }
--- a/modules/borageslip_scheduling/borageslip_scheduling.h
+++ b/modules/borageslip_scheduling/borageslip_scheduling.h
@@ -30,6 +30,7 @@
 #include "placement/ReservationCoordinator.h"
 #include "placement/ServerChoice.h"
 #include "placement/ServerMemory.h"
+#include "placement/ServerSlowness.h"
 #include "placement/ServerUsage.h"
 #include "servers/Evacuations.h"
 #include "servers/SendAllowance.h"
--- a/modules/borageslip_traffic/engine/ResponseReceiver.cpp
+++ b/modules/borageslip_traffic/engine/ResponseReceiver.cpp
@@ -69,6 +69,7 @@
             continue;
         }
         applyRateLimit(metadata);
+        m_context.engine.recordServerLoad(*m_state.server, metadata);
         if (!metadata.isMisdirected)
             m_context.engine.coldServers().recordResponse(*m_state.server, metadata.coldTimeLeft, m_state.sentAt);
         if (metadata.isEncoded)
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -281,11 +281,13 @@
 double TrafficEngine::meanInFlight(std::string_view service) const
 {
     const auto now = m_clock.now();
+    const bool countsEvacuated = m_evacuation.countsInMean(service);
     const auto mean = [&](bool includesRateLimited) -> std::optional<double> {
         int total = 0;
         int count = 0;
         for (const auto& server : m_servers.ofService(service)) {
-            if (!server->isInService() || (!includesRateLimited && server->allowance().rateLimit(now)))
+            const bool isCounted = server->isInService() || (countsEvacuated && server->isEvacuated());
+            if (!isCounted || (!includesRateLimited && server->allowance().rateLimit(now)))
                 continue;
             total += server->inFlight();
             ++count;
@@ -305,28 +307,40 @@
     m_candidates.clear();
     m_candidateServers.clear();
     const bool mayHavePermits = m_coldServers.mayHavePermits(admitted.service);
+    const bool countsEvacuated = m_evacuation.countsInMean(admitted.service);
     for (const auto& server : m_servers.ofService(admitted.service)) {
-        if (!server->isInService())
+        const bool isInService = server->isInService();
+        if (!isInService && !(countsEvacuated && server->isEvacuated()))
             continue;
         // A server at its rate limit is left out, so that the load cap of the others counts only what they share.
         if (server->isDeferred(admitted.prefixTokens, now))
             continue;
         const bool isLimited = m_coldServers.isLimited(*server);
-        const bool isExcluded = server->allowance().isPaused(now) || (isLimited && !mayHavePermits) || std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
+        const bool isExcluded = !isInService || server->allowance().isPaused(now) || (isLimited && !mayHavePermits) || std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
         const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), admitted.hash, now);
         const int slots = keepsReserve ? PriorityReserve::unreservedSlots(server->description().slots) : server->description().slots;
         m_candidates.push_back({ server->hash(), server->inFlight(), slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
-            server->description().failureDomain == m_settings.failureDomain, m_reservationBroker != nullptr && server->isLoadOutdated(), isLimited });
+            server->description().failureDomain == m_settings.failureDomain, m_reservationBroker != nullptr && server->isLoadOutdated(), isLimited, server->slowness().factor(now) });
         m_candidateServers.push_back(server);
     }
     const auto affinity = admitted.route->reusesPrefixes ? admitted.affinity : 0;
-    const auto choice = chooseServer(m_candidates, affinity, admitted.hash, m_settings.choice);
+    auto limits = m_settings.choice;
+    if (m_servers.statesSlowness(admitted.service))
+        limits.leastLoadedRule = leastLoadedRuleFor(loadAge());
+    const auto choice = chooseServer(m_candidates, affinity, admitted.hash, limits);
     if (!choice)
         return {};
     ++m_counts.placements.at(static_cast<size_t>(choice->reason));
     return { m_candidateServers[choice->index], choice->reason };
 }
 
+void TrafficEngine::recordServerLoad(BackendServer& server, const ResponseMetadata& metadata)
+{
+    const bool isStated = !metadata.isMisdirected && metadata.load && metadata.load->slownessPercent;
+    if (isStated && !m_servers.recordSlowness(server, *metadata.load->slownessPercent))
+        ++m_counts.invalidSlowness;
+}
+
 size_t TrafficEngine::waitingCount() const
 {
     size_t count = 0;
--- a/modules/borageslip_traffic/metrics/TrafficCounts.h
+++ b/modules/borageslip_traffic/metrics/TrafficCounts.h
@@ -20,6 +20,7 @@
     uint64_t confirmationsMissed = 0; ///< Of these, the ones for which it was not confirmed in time.
     uint64_t rateLimitDenials = 0; ///< Reservations and slots that this instance denied because of the rate limit of a server.
     uint64_t invalidRateLimits = 0; ///< Responses with a rate limit that cannot be applied as it stands.
+    uint64_t invalidSlowness = 0; ///< Responses whose figure of their server's speed is not positive.
     std::array<uint64_t, reservationOutcomeCount> coldPermitRequests {}; ///< Permits for cold servers requested from other instances; by ReservationOutcome.
     uint64_t coldPermitsIssued = 0; ///< Permits for cold servers issued from the shares of this instance.
     uint64_t coldSendsWithheld = 0; ///< Requests not written to a cold server for want of a valid permit.
--- a/modules/borageslip_traffic/peers/PeerReport.cpp
+++ b/modules/borageslip_traffic/peers/PeerReport.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace borageslip {
 
@@ -42,6 +43,24 @@
         return limits;
     }
 
+    nlohmann::json slownessRows(std::span<const SlownessRow> statements)
+    {
+        auto rows = nlohmann::json::array();
+        for (const auto& statement : statements)
+            rows.push_back({ statement.server, static_cast<uint64_t>(std::max(0, statement.percent)), static_cast<uint64_t>(std::max<int64_t>(0, statement.age.count())) });
+        return rows;
+    }
+
+    bool areSlownessRows(const nlohmann::json& rows)
+    {
+        constexpr uint64_t largestPercent = std::numeric_limits<int>::max();
+        const auto isRow = [](const nlohmann::json& row) {
+            const bool hasFields = row.is_array() && row.size() == 3 && row[0].is_number_unsigned() && row[1].is_number_unsigned() && isTimeField(row[2]);
+            return hasFields && row[1].get<uint64_t>() <= largestPercent;
+        };
+        return rows.is_array() && std::all_of(rows.begin(), rows.end(), isRow);
+    }
+
     bool isTriple(const nlohmann::json& row)
     {
         return row.is_array() && row.size() == 3 && std::all_of(row.begin(), row.end(), [](const auto& number) { return number.is_number_unsigned(); });
@@ -76,6 +95,7 @@
     document.push_back(std::move(quarantined));
     document.push_back(report.configurationVersion);
     document.push_back(rateLimitRows(report.rateLimits));
+    document.push_back(slownessRows(report.slowness));
     if (report.memory)
         document.push_back(memoryRows(*report.memory));
     return nlohmann::json::to_cbor(document);
@@ -124,7 +144,13 @@
     report.rateLimits = rateLimitsFrom(document[9]);
     if (document.size() == 10)
         return report;
-    report.memory = memoryRowsFrom(document[10]);
+    if (!areSlownessRows(document[10]))
+        return malformed;
+    for (const auto& row : document[10])
+        report.slowness.push_back({ row[0], row[1], std::chrono::milliseconds(row[2].get<int64_t>()) });
+    if (document.size() == 11)
+        return report;
+    report.memory = memoryRowsFrom(document[11]);
     if (!report.memory)
         return malformed;
     return report;
--- a/modules/borageslip_traffic/servers/ServerTable.h
+++ b/modules/borageslip_traffic/servers/ServerTable.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -78,6 +79,21 @@
     /** Records outcomes reported by another instance: increases since its previous report. */
     void recordPeerOutcomes(std::span<const ServerOutcomes>);
 
+    /** Records what a response to this instance has stated of the server's speed. @return whether the figure is used. */
+    bool recordSlowness(BackendServer&, int percent);
+
+    /** Records statements of responses to another instance. */
+    void recordPeerSlowness(std::span<const SlownessRow>);
+
+    /** The last statement of each server in responses to this instance after the given time. */
+    std::vector<SlownessRow> slownessSince(TimePoint) const;
+
+    /** Whether a server of the service has stated its speed recently, which enables shares by speed. */
+    bool statesSlowness(std::string_view service) const;
+
+    /** Share of the work of its service that the server should hold. @see capacityShares */
+    double capacityShare(const BackendServer&) const;
+
     /** Health of the servers of one service, which are identified by their hashes. */
     ServerHealth& health(const std::string& service) { return m_health[service]; }
 
@@ -110,6 +126,7 @@
     void removeExpired();
     void forgetRemoved();
     void evaluateHealth();
+    void logSlownessChanges();
     bool isEvacuated(const ServerDescription&) const;
 
     const Clock& m_clock;
@@ -121,6 +138,7 @@
     std::map<std::string, std::vector<BackendServerPtr>, std::less<>> m_byService;
     std::unordered_map<uint64_t, BackendServerPtr> m_byHash;
     std::map<std::string, ServerHealth, std::less<>> m_health;
+    std::set<std::string, std::less<>> m_statingServices; ///< Services whose servers state their speeds, as last logged.
     std::map<std::string, RemovedServer, std::less<>> m_removed; ///< By id; the platform may list them again.
     std::map<std::string, HeldEntry, std::less<>> m_heldEntries; ///< By server id.
     std::map<std::string, LastEntry, std::less<>> m_lastEntries; ///< Of removed servers, by id.
