Renew the leases of quota shares every two seconds

Each renewal is followed by a read of the shares' keys, so that eight holders made 16 calls of the store a second.

--- a/modules/borageslip_scheduling/cold/ColdShareKeeper.h
+++ b/modules/borageslip_scheduling/cold/ColdShareKeeper.h
@@ -25,7 +25,7 @@
 struct ColdShareTimes {
     Duration timeToLive = std::chrono::seconds(4);
     Duration margin = std::chrono::milliseconds(400); ///< By which a right ends before its lease; covers clocks that run at different rates.
-    Duration renewal = std::chrono::milliseconds(1000);
+    Duration renewal = std::chrono::milliseconds(2000);
 };
 
 /** Decides which calls to the store acquire and keep quota shares, and from the results which shares this instance holds.
