--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -70,9 +70,8 @@
     std::vector<QuarantinedPrompt> quarantined {}; ///< As known to the sender.
     std::vector<RateLimitRow> rateLimits {}; ///< As known to the sender.
     uint64_t configurationVersion = 0; ///< Of the configuration in force at the sender; 0 for none.
-    std::optional<std::vector<MemoryUsage>> memory {}; ///< Of the servers at which the sender has requests; absent if it doesn't count memory.
-
     std::vector<SlownessRow> slowness {}; ///< Of the servers whose responses have stated it since the last report.
+    std::optional<std::vector<MemoryUsage>> memory {}; ///< Of the servers at which the sender has requests; absent if it doesn't count memory.
 
     bool operator==(const PeerReport&) const = default;
 };
