--- a/modules/borageslip_experiment/run/ExperimentOutcome.h
+++ b/modules/borageslip_experiment/run/ExperimentOutcome.h
@@ -28,12 +28,20 @@
     int64_t tokensPrefillWasted = 0; ///< For requests that were not completed, or again after a preemption.
     int64_t tokensReused = 0;
     int64_t tokensShareable = 0;
+    int64_t tokensLeast = 0; ///< Prefilled when each prefix is prefilled once and each own prompt part of the requests sent.
     int rejections = 0; ///< All rejections, including those of callers that were served after a retry.
     int retries = 0; ///< Requests sent to another engine after a failure.
     int preemptions = 0;
+    int denials = 0; ///< By coordinators.
+    double busiestOverMean = 0; ///< Requests at the busiest engine over the mean of all engines in each second, averaged.
+    double busiestOverMeanHighest = 0; ///< Of the worst second.
+    double firstTokenP50 = 0; ///< Milliseconds from the first arrival, of all requests that got a first token.
+    double firstTokenP99 = 0;
+    double completionP99 = 0; ///< Milliseconds from the first arrival to the last token.
 
     ClassOutcome total() const;
     double reuseShare() const { return tokensShareable == 0 ? 1 : static_cast<double>(tokensReused) / static_cast<double>(tokensShareable); }
+    double prefillFactor() const { return tokensLeast == 0 ? 1 : static_cast<double>(tokensPrefilled) / static_cast<double>(tokensLeast); }
     double wastedPrefillShare() const { return tokensPrefilled == 0 ? 0 : static_cast<double>(tokensPrefillWasted) / static_cast<double>(tokensPrefilled); }
 };
 
--- a/modules/borageslip_experiment/run/PolicyExperiment.h
+++ b/modules/borageslip_experiment/run/PolicyExperiment.h
@@ -3,7 +3,13 @@
 #include "../model/EngineModel.h"
 #include "../model/InstanceModel.h"
 #include "../model/PlacementStrategy.h"
+#include "../model/ReservationModel.h"
+#include "ArrivalPlanner.h"
 #include "ExperimentOutcome.h"
+#include "LoadObserver.h"
+
+#include <borageslip_scheduling/placement/PrefixFlights.h>
+#include <borageslip_scheduling/placement/ReservationCoordinator.h>
 
 #include <memory>
 #include <queue>
@@ -25,9 +31,14 @@
     enum class EventType {
         Call, ///< A request arrives, for the first time or as a retry by its caller.
         Leave, ///< A caller gives up, or the deadline of its request passes.
+        Submit, ///< A request for which a reservation was requested reaches its engine.
         StepEnd, ///< An engine finishes a step.
         Report, ///< An instance reports its load to its peers.
+        PrefixWaitEnd, ///< A request has waited for its prefix for as long as it may.
         QueueCheck, ///< An instance rejects requests that have waited too long and places queued ones on free slots.
+        Sample, ///< The load of the engines is sampled.
+        NeighbourStart, ///< A neighbour begins to slow an engine.
+        NeighbourEnd,
         EventStart,
         EventEnd,
     };
@@ -46,18 +57,24 @@
         }
 
         EngineModel model;
+        /** Time that work currently takes, as a multiple of the usual time. */
+        double slowness() const { return speedFactor * neighbourFactor * eventFactor; }
+        void applySlowness() { model.setStepTimeFactor(slowness()); }
+
+        double speedFactor = 1;
+        double neighbourFactor = 1;
+        double eventFactor = 1;
         bool isBusy = false;
         bool isDown = false;
         bool isFailing = false;
         Duration downSince {};
         uint64_t crashCount = 0; ///< Identifies steps that started before a crash; their output is discarded.
+        RecentPrefixes prefixes; ///< As its coordinator knows them.
         std::vector<StepOutput> output; ///< Of the current step, delivered when it ends.
     };
 
     void planArrivals();
-    void planArrivals(const PatternClass&, size_t index);
-    double rateFactor(const PatternClass&, Duration) const;
-    CallerRequest drawRequest(const PatternClass&, size_t index, Duration at);
+    void planSpeeds();
     void schedule(Duration at, EventType, uint64_t subject);
     void dispatch(const ScheduledEvent&);
 
@@ -68,8 +85,20 @@
     void checkQueue(size_t instance);
     void report(size_t instance);
     bool place(CallerRequest&);
-    std::optional<size_t> choose(const CallerRequest&);
+    /** Whether the coordinators of the pattern grant requests; those of the strategy take precedence. */
+    bool usesReservationModel() const { return m_pattern.coordinators.isEnabled && !m_strategy.hasCoordinators; }
+    std::optional<size_t> choose(const CallerRequest&, std::span<const size_t> denied);
+    std::optional<size_t> reserve(CallerRequest&);
+    bool placeQueued(CallerRequest&);
+    void sampleLoad();
     bool send(CallerRequest&, size_t engine);
+    bool isGranted(const CallerRequest&, size_t engine);
+    InstanceModel::EngineUsage totalUsage(size_t engine) const;
+    void submit(CallerRequest&);
+    bool awaitsPrefix(CallerRequest&);
+    void endPrefixWait(CallerRequest&);
+    void endPrefill(CallerRequest&, bool isFinished);
+    PrefixAtServer prefixAt(const CallerRequest& request) const { return { InstanceModel::hashOf(request.engine), request.prefix }; }
     void afterFailure(CallerRequest&);
     void reject(CallerRequest&);
     void releaseEngine(CallerRequest&);
@@ -95,6 +124,10 @@
     std::vector<std::unique_ptr<CallerRequest>> m_requests;
     std::vector<EngineState> m_engines;
     std::vector<InstanceModel> m_instances;
+    ReservationModel m_reservations;
+    LoadObserver m_observer;
+    ArrivalPlanner m_planner;
+    PrefixFlights m_prefixFlights;
     ExperimentOutcome m_outcome;
 };
 
--- a/modules/borageslip_scheduling/borageslip_scheduling.h
+++ b/modules/borageslip_scheduling/borageslip_scheduling.h
@@ -10,6 +10,11 @@
     Depends on borageslip_core and borageslip_routing (fair queue, server health, bounded tables).
 */
 
+#include "cold/ColdPermit.h"
+#include "cold/ColdShareKeeper.h"
+#include "cold/ColdShareRate.h"
+#include "cold/ColdShareRights.h"
+#include "cold/ColdState.h"
 #include "limits/FleetRetryBudget.h"
 #include "limits/MemoryBudget.h"
 #include "limits/PriorityReserve.h"
@@ -19,11 +24,16 @@
 #include "limits/RetryAfter.h"
 #include "limits/ServiceQueue.h"
 #include "limits/ServiceState.h"
+#include "placement/MemoryUsage.h"
+#include "placement/PrefixFlights.h"
 #include "placement/RecentPrefixes.h"
 #include "placement/ReservationCoordinator.h"
 #include "placement/ServerChoice.h"
+#include "placement/ServerMemory.h"
+#include "placement/ServerSlowness.h"
 #include "placement/ServerUsage.h"
 #include "servers/Evacuations.h"
 #include "servers/SendAllowance.h"
 #include "servers/ServerHealth.h"
 #include "stop/StopSchedule.h"
+#include "store/StoreEraOrder.h"
--- a/modules/borageslip_scheduling/servers/Evacuations.h
+++ b/modules/borageslip_scheduling/servers/Evacuations.h
@@ -47,6 +47,9 @@
     /** Lets an evacuation end at a time unless it is begun again by then. An earlier schedule is kept. */
     void scheduleEnd(std::string_view domain, TimePoint at);
 
+    /** Moves all scheduled ends, because the operators could not write their keys until now. */
+    void rescheduleEnds(TimePoint at);
+
     /** Ends the evacuations whose scheduled end has come, and returns their domains. */
     std::vector<std::string> endDue(TimePoint now);
 
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
@@ -77,6 +77,15 @@
         announced.evacuation = 0;
 }
 
+void ConfigurationRefresh::forgetAnnouncements()
+{
+    m_announcers.clear();
+    m_newestAnnounced = 0;
+    m_newestEvacuation = 0;
+    m_awaited = {};
+    m_failedRounds = 0;
+}
+
 void ConfigurationRefresh::trackAwaited(const ConfigurationKnowledge& knowledge, TimePoint now)
 {
     // While versions come in quick succession, the polls that bring some of them suffice.
--- a/modules/borageslip_traffic/engine/ReservationWait.cpp
+++ b/modules/borageslip_traffic/engine/ReservationWait.cpp
@@ -31,6 +31,8 @@
         co_return rejectEvacuated();
     if (!m_context.engine.hasServersInService(m_context.admitted.service))
         co_return Error { ErrorKind::NoEngineAvailable, "service \"" + m_context.admitted.service + "\" has no backend server in service" };
+    if (auto tooLarge = m_context.engine.checkServerMemory(m_context.metadata, m_context.admitted); !isOk(tooLarge))
+        co_return error(tooLarge);
     auto resumed = co_await awaitEndOfPause();
     if (!isOk(resumed))
         co_return error(resumed);
@@ -77,13 +79,27 @@
     return std::min({ worthwhile, m_context.route().latencyObjective / prefixWaitDivisor, m_context.timeLeft() });
 }
 
-asio::awaitable<ReservationResult> ReservationWait::requestReservation(BackendServer& server, milliseconds waitWithin)
+uint64_t ReservationWait::sharedPrefill() const
+{
+    const auto prefix = TrafficEngine::sharedPrefix(m_context.admitted);
+    return m_context.route().reusesPrefixes && PrefixFlights::isShared(prefix.tokens) ? prefix.hash : 0;
+}
+
+milliseconds ReservationWait::prefillWait() const
+{
+    if (sharedPrefill() == 0)
+        return milliseconds(0);
+    const auto objectiveLeft = toMilliseconds(m_context.route().latencyObjective - (m_context.engine.clock().now() - m_context.arrivedAt));
+    return std::max(milliseconds(0), std::min(prefixWait(), objectiveLeft / prefixWaitDivisor));
+}
+
+asio::awaitable<ReservationResult> ReservationWait::requestReservation(BackendServer& server, Waits waits)
 {
     const auto prefix = TrafficEngine::sharedPrefix(m_context.admitted);
     auto* broker = m_context.engine.reservationBroker();
     if (broker == nullptr)
         co_return ReservationResult { ReservationOutcome::Granted, prefix.hash != 0 && server.recordPrefix(prefix.hash) };
-    const ReservationDemand demand { m_context.engine.reservationLimits(server, m_context.admitted), prefix, m_context.promptTokens(), m_context.admitted.requestPriority(), waitWithin };
+    const ReservationDemand demand { m_context.engine.reservationLimits(server, m_context.admitted), prefix, m_context.promptTokens(), m_context.admitted.requestPriority(), waits.forSlot, waits.forPrefill, m_context.engine.requestMemory(m_context.metadata, m_context.admitted) };
     co_return co_await broker->requestReservation(server, demand);
 }
 
@@ -91,20 +107,29 @@
 {
     auto excluded = m_context.triedServers;
     for (int denials = 0; denials < maxDenials && !m_context.isStopped(); ++denials) {
-        const auto [server, reason] = m_context.engine.choose(m_context.admitted, excluded);
-        if (!server)
+        const auto [chosen, reason] = m_context.engine.choose(m_context.admitted, excluded);
+        if (!chosen)
             break;
         m_context.choiceReason = reason;
-        auto reservation = std::make_shared<ServerReservation>(m_context.engine, server, m_context.promptTokens());
-        const bool waits = prefixWaits == PrefixWait::Allowed && reason == ChoiceReason::Affinity;
-        const auto waitWithin = waits ? prefixWait() : milliseconds(0);
-        const auto result = co_await requestReservation(*server, waitWithin);
+        const auto [server, permit] = co_await awaitPermit(chosen, excluded);
+        if (!server)
+            continue;
+        auto reservation = std::make_shared<ServerReservation>(m_context.engine, server, m_context.promptTokens(), nullptr, m_context.engine.requestMemory(m_context.metadata, m_context.admitted));
+        const bool waitsForSlot = prefixWaits == PrefixWait::Allowed && reason == ChoiceReason::Affinity;
+        Waits waits;
+        // A permit for a cold server would expire during a wait.
+        if (!permit)
+            waits = { waitsForSlot ? prefixWait() : milliseconds(0), prefillWait() };
+        const auto result = co_await requestReservation(*server, waits);
         // If the granting instance does not respond, proceed anyway: according to the local load data the server has
         // capacity.
         if (result.outcome != ReservationOutcome::Denied) {
             if (result.isPrefixCached)
                 reservation->removeCachedTokens(static_cast<int64_t>(TrafficEngine::sharedPrefix(m_context.admitted).tokens));
             reservation->confirm();
+            if (result.outcome == ReservationOutcome::Granted && !result.isPrefixCached)
+                reservation->beginPrefill(sharedPrefill());
+            reservation->setColdPermit(permit);
             co_return reservation;
         }
         excluded.push_back(server->hash());
@@ -112,6 +137,21 @@
     co_return nullptr;
 }
 
+asio::awaitable<ReservationWait::PermittedServer> ReservationWait::awaitPermit(BackendServerPtr server, std::vector<uint64_t>& excluded)
+{
+    auto& coldServers = m_context.engine.coldServers();
+    if (!coldServers.isLimited(*server))
+        co_return PermittedServer { server };
+    auto permit = co_await coldServers.requestPermit(*server, excluded);
+    if (permit)
+        server = m_context.engine.servers().find(permit->server);
+    if (permit && server)
+        co_return PermittedServer { server, permit };
+    const auto cold = coldServers.limitedServers(m_context.admitted.service);
+    excluded.insert(excluded.end(), cold.begin(), cold.end());
+    co_return PermittedServer {};
+}
+
 QueuedRequest ReservationWait::queuedRequest() const
 {
     // Callers choose their request ids, and a duplicate may arrive while the first request is still queued.
@@ -205,11 +245,24 @@
                 ticket->useWithoutGrant(server->hash());
         }
         const bool isUsable = server && server->acceptsRequests();
-        if (isUsable && !m_context.isStopped()) {
+        auto& coldServers = m_context.engine.coldServers();
+        const bool needsPermit = isUsable && coldServers.isLimited(*server);
+        std::optional<ColdPermit> permit;
+        if (needsPermit)
+            permit = co_await coldServers.requestPermit(*server);
+        const bool isPermitted = !needsPermit || permit;
+        if (isUsable && isPermitted && !m_context.isStopped()) {
             m_context.recordWait(queuedAt);
             auto reservation = std::make_shared<ServerReservation>(m_context.engine, server, 0, std::move(ticket));
+            reservation->setColdPermit(permit);
             co_return reservation;
         }
+        if (!isPermitted) {
+            // The next ticket is for a warm server.
+            const auto cold = coldServers.limitedServers(m_context.admitted.service);
+            demand.excluded.insert(demand.excluded.end(), cold.begin(), cold.end());
+            continue;
+        }
         if (ticket->outcome() != SlotTicket::Outcome::Granted) {
             m_context.recordWait(queuedAt);
             co_return rejectionError(*ticket);
--- a/modules/borageslip_traffic/engine/ReservationWait.h
+++ b/modules/borageslip_traffic/engine/ReservationWait.h
@@ -25,6 +25,12 @@
         None,
     };
 
+    /** How long a request may wait at the coordinator of a server. */
+    struct Waits {
+        std::chrono::milliseconds forSlot { 0 };
+        std::chrono::milliseconds forPrefill { 0 }; ///< While another request prefills its prefix.
+    };
+
     /** Waits until a server of the service accepts requests of this instance. Errors: Overloaded if none does in time. */
     boost::asio::awaitable<Status> awaitEndOfPause();
     boost::asio::awaitable<Result<ReservationPtr>> waitInQueue();
@@ -44,9 +50,23 @@
     /** Chooses a backend server and reserves capacity on it; null if no server has any. */
     boost::asio::awaitable<ReservationPtr> acquireReservation(PrefixWait);
 
+    struct PermittedServer {
+        BackendServerPtr server; ///< Null if there is no permit.
+        std::optional<ColdPermit> permit {}; ///< For a server that gets requests only with permits.
+    };
+
+    /** Obtains a permit if the server is cold, for it or another cold one. Without a permit, all cold servers are excluded. */
+    boost::asio::awaitable<PermittedServer> awaitPermit(BackendServerPtr, std::vector<uint64_t>& excluded);
+
     /** How long the request waits for a slot of the server that has its prompt prefix. */
     std::chrono::milliseconds prefixWait() const;
-    boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, std::chrono::milliseconds waitWithin);
+
+    /** Hash of the prefix whose prefill other requests may wait for; 0 for none. */
+    uint64_t sharedPrefill() const;
+
+    /** How long the request may wait while another one prefills its prefix. */
+    std::chrono::milliseconds prefillWait() const;
+    boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, Waits);
     QueuedRequest queuedRequest() const;
 
     ExchangeContext& m_context;
--- a/modules/borageslip_traffic/engine/ResponseReceiver.cpp
+++ b/modules/borageslip_traffic/engine/ResponseReceiver.cpp
@@ -42,17 +42,21 @@
     const auto bodyKind = m_context.request.method() == boost::beast::http::verb::head ? ResponseReader::Body::None : ResponseReader::Body::Expected;
     m_context.engine.countPrompt(m_context.metadata, m_state.reservation->pendingTokens());
     for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
-        ResponseSource source(*m_state.connection, m_context.engine.scratch(), m_context.engine.memory(), bodyKind);
+        ResponseSource source(*m_state.connection, m_state.write, m_context.engine.scratch(), m_context.engine.memory(), bodyKind);
         const auto& reader = source.reader();
         const bool hasHead = co_await source.readHead();
         m_state.reservation->onResponseBegun();
-        if (*m_state.writeProgress == WriteProgress::Withheld) {
+        if (m_state.write->isWithheld) {
             m_state.attempt.fire(AttemptEvent::NotRun);
             m_context.recordAbandoned(*m_state.server);
             co_return AttemptResult::Abandoned;
         }
-        if (!hasHead)
+        if (!hasHead) {
+            m_state.reservation->endPrefill(PrefillEnd::Failed);
+            if (source.isInvalid())
+                co_return m_state.handleLostResponse("the bytes received are not a valid response");
             co_return m_state.handleLostConnection("connection lost before a response was received");
+        }
         m_state.isResponseBegun = true;
         m_context.setPhase(RequestPhase::AwaitingBody);
         const auto metadata = m_context.engine.protocol().responseMetadata(reader.head().result_int(), reader.head());
@@ -65,14 +69,26 @@
             continue;
         }
         applyRateLimit(metadata);
+        m_context.engine.recordServerLoad(*m_state.server, metadata);
+        if (!metadata.isMisdirected)
+            m_context.engine.coldServers().recordResponse(*m_state.server, metadata.coldTimeLeft, m_state.sentAt);
         if (metadata.isEncoded)
             co_return m_state.handleLostResponse("response has a content encoding");
         if (metadata.isMisdirected)
             co_return handleMisdirected();
         if (metadata.isNotRun)
             co_return co_await handleNotRun(source);
+        // A response to HEAD ends with its head, so that a connection that is lost afterwards cannot show that the server failed.
+        const bool endsWithHead = bodyKind == ResponseReader::Body::None && !reader.hasStatedLength();
+        bool isReceived = true;
+        if (endsWithHead)
+            isReceived = co_await source.awaitRequestReceived();
+        if (!isReceived)
+            co_return m_state.handleLostConnection("connection lost before the whole request was received");
         recordServerHealth(reader.head().result_int());
         const bool isSuccess = reader.head().result_int() / 100 == 2;
+        if (isSuccess)
+            m_state.reservation->endPrefill(PrefillEnd::Finished);
         if (!isSuccess && tryReserveRetry(reader.head().result_int())) {
             m_context.mayHaveRun = true;
             m_context.lastError = { ErrorKind::ServiceFailed, "the backend server returned a server error" };
--- a/modules/borageslip_traffic/engine/ServerAttempt.cpp
+++ b/modules/borageslip_traffic/engine/ServerAttempt.cpp
@@ -45,6 +45,7 @@
             co_return abandon(*server);
         if (!isOk(connected)) {
             server->recordUnreachable();
+            m_context.engine.coldServers().recordUnreachable(*server);
             m_context.lastError = error(connected);
             logEvent(Severity::Warning, "server-unreachable", { { "request", m_context.metadata.requestId }, { "server", server->description().id }, { "detail", m_context.lastError.detail } });
             co_return AttemptResult::NotSent;
@@ -62,6 +63,8 @@
     // The request may have waited since the last check.
     if (m_context.isQuarantined() || m_context.isTooLateToStart())
         co_return AttemptResult::NotSent;
+    if (!m_context.engine.coldServers().maySend(*server, state.reservation->coldPermit()))
+        co_return withhold(state);
     m_context.activeConnection = state.connection;
     const auto result = co_await send(state);
     m_context.activeConnection = nullptr;
@@ -80,6 +83,20 @@
     return AttemptResult::Abandoned;
 }
 
+AttemptResult ServerAttempt::withhold(AttemptState& state)
+{
+    state.server->pool().returnConnection(state.connection);
+    // The server may be chosen again as soon as there is a permit for it.
+    m_context.triedServers.pop_back();
+    if (m_context.sendCount > 0) {
+        m_context.hasReservedRetry = true;
+        --m_context.engine.counts().retries;
+    } else {
+        m_context.lastError = { ErrorKind::Overloaded, "the backend server is cold and gets no further request at present" };
+    }
+    return AttemptResult::NotPermitted;
+}
+
 std::string ServerAttempt::forwardedHead(const BackendServer& server) const
 {
     HttpRequest outgoing;
@@ -95,18 +112,20 @@
     return serializeRequestHead(outgoing, m_context.request.body().size());
 }
 
-asio::awaitable<void> ServerAttempt::writeRequest(std::shared_ptr<ExchangeContext> context, ServerConnectionPtr connection, BackendServerPtr server, std::string head, std::shared_ptr<WriteProgress> progress)
+asio::awaitable<void> ServerAttempt::writeRequest(std::shared_ptr<ExchangeContext> context, ServerConnectionPtr connection, BackendServerPtr server, std::string head, std::shared_ptr<RequestWrite> write)
 {
     // A coroutine that was spawned begins later than the checks before it.
     if (server->isEvacuated()) {
-        *progress = WriteProgress::Withheld;
+        write->isWithheld = true;
+        write->isEnded = true;
         connection->close();
         co_return;
     }
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(context->request.body()) };
     boost::system::error_code failure;
     co_await asio::async_write(connection->socket, buffers, asio::redirect_error(asio::use_awaitable, failure));
-    *progress = failure ? WriteProgress::Begun : WriteProgress::Complete;
+    write->isEnded = true;
+    write->isWritten = !failure;
 }
 
 asio::awaitable<AttemptResult> ServerAttempt::send(AttemptState& state)
@@ -119,9 +138,9 @@
     auto head = forwardedHead(*state.server);
     // A backend server may respond before it has read the whole body of a long request.
     if (head.size() + m_context.request.body().size() > maxInlineRequestBytes)
-        asio::co_spawn(m_context.engine.executor(), writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.writeProgress), asio::detached);
+        asio::co_spawn(m_context.engine.executor(), writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.write), asio::detached);
     else
-        co_await writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.writeProgress);
+        co_await writeRequest(m_context.shared_from_this(), state.connection, state.server, std::move(head), state.write);
     ResponseReceiver receiver(m_context, state);
     co_return co_await receiver.receive();
 }
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -1,6 +1,7 @@
 #include "TrafficEngine.h"
 
 #include <borageslip_scheduling/limits/RetryAfter.h>
+#include <borageslip_scheduling/placement/ServerMemory.h>
 
 #include <borageslip_core/identity/Hash.h>
 #include <borageslip_core/logging/Log.h>
@@ -52,6 +53,14 @@
         return affinity | 1;
     }
 
+    uint64_t promptPartTokens(const RequestMetadata& metadata)
+    {
+        uint64_t tokens = 0;
+        for (const auto& part : metadata.promptParts)
+            tokens += part.tokens;
+        return tokens;
+    }
+
     /** Prompt tokens of the parts that other requests share. */
     uint64_t sharedTokens(const RequestMetadata& metadata)
     {
@@ -71,6 +80,7 @@
     , m_memory(m_settings.bufferBytes)
     , m_servers(clock, executor)
     , m_evacuation(clock, m_servers, m_settings.evacuableDomains, [this](std::string_view service) { return coldStartOf(service); })
+    , m_coldServers(clock, m_servers, m_counts, m_settings.coldBound)
     , m_quarantine(clock)
     , m_crashDetector(clock, executor, m_quarantine)
 {
@@ -79,6 +89,10 @@
         if (m_reservationBroker != nullptr)
             m_reservationBroker->onEvacuationChanged();
     });
+    m_crashDetector.setCrashHandler([this](const BackendServer& server) {
+        if (const auto listed = m_servers.find(server.hash()))
+            m_coldServers.recordUnreachable(*listed);
+    });
 }
 
 Duration TrafficEngine::coldStartOf(std::string_view service) const
@@ -118,6 +132,7 @@
         return;
     }
     m_configuration = std::move(configuration);
+    m_coldServers.setConfiguration(*m_configuration);
     logEvent(Severity::Info, "configuration-in-force", { { "version", m_configuration->version() }, { "routes", m_configuration->routes().size() }, { "keys", m_configuration->keyCount() } });
 }
 
@@ -184,6 +199,31 @@
     m_counts.promptTokensCached += static_cast<uint64_t>(std::max<int64_t>(0, metadata.promptTokens - uncached));
 }
 
+uint64_t TrafficEngine::serverMemory(std::string_view service) const
+{
+    const auto* known = m_settings.guardsServerMemory && m_configuration ? m_configuration->service(service) : nullptr;
+    return known != nullptr && known->engine ? static_cast<uint64_t>(std::max<int64_t>(0, known->engine->cacheTokens)) : 0;
+}
+
+RequestMemory TrafficEngine::requestMemory(const RequestMetadata& metadata, const AdmittedRequest& admitted) const
+{
+    if (!m_settings.guardsServerMemory)
+        return {};
+    const uint64_t prompt = std::max<uint64_t>(metadata.promptTokens, promptPartTokens(metadata));
+    const auto shared = admitted.affinity == 0 ? 0 : std::min(prompt, admitted.prefixTokens);
+    return { prompt - shared + metadata.maxOutputTokens, { shared == 0 ? 0 : admitted.affinity, shared } };
+}
+
+Status TrafficEngine::checkServerMemory(const RequestMetadata& metadata, const AdmittedRequest& admitted)
+{
+    const auto capacity = serverMemory(admitted.service);
+    const auto tokens = requestMemory(metadata, admitted).total();
+    if (capacity == 0 || tokens <= ServerMemory::maxRequestTokens(capacity))
+        return ok();
+    ++m_counts.memoryRejections;
+    return Error { ErrorKind::NoEngineAvailable, "the request can hold " + std::to_string(tokens) + " tokens, more than a server of \"" + admitted.service + "\" has memory for" };
+}
+
 ReservationLimits TrafficEngine::reservationLimits(const BackendServer& server, const AdmittedRequest& admitted)
 {
     const int slots = server.description().slots;
@@ -241,11 +281,13 @@
 double TrafficEngine::meanInFlight(std::string_view service) const
 {
     const auto now = m_clock.now();
+    const bool countsEvacuated = m_evacuation.countsInMean(service);
     const auto mean = [&](bool includesRateLimited) -> std::optional<double> {
         int total = 0;
         int count = 0;
         for (const auto& server : m_servers.ofService(service)) {
-            if (!server->isInService() || (!includesRateLimited && server->allowance().rateLimit(now)))
+            const bool isCounted = server->isInService() || (countsEvacuated && server->isEvacuated());
+            if (!isCounted || (!includesRateLimited && server->allowance().rateLimit(now)))
                 continue;
             total += server->inFlight();
             ++count;
@@ -264,27 +306,41 @@
     const bool keepsReserve = serviceState(admitted.service).priorityReserve.appliesTo(admitted.requestPriority(), now);
     m_candidates.clear();
     m_candidateServers.clear();
+    const bool mayHavePermits = m_coldServers.mayHavePermits(admitted.service);
+    const bool countsEvacuated = m_evacuation.countsInMean(admitted.service);
     for (const auto& server : m_servers.ofService(admitted.service)) {
-        if (!server->isInService())
+        const bool isInService = server->isInService();
+        if (!isInService && !(countsEvacuated && server->isEvacuated()))
             continue;
         // A server at its rate limit is left out, so that the load cap of the others counts only what they share.
         if (server->isDeferred(admitted.prefixTokens, now))
             continue;
-        const bool isExcluded = server->allowance().isPaused(now) || std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
+        const bool isLimited = m_coldServers.isLimited(*server);
+        const bool isExcluded = !isInService || server->allowance().isPaused(now) || (isLimited && !mayHavePermits) || std::find(excluded.begin(), excluded.end(), server->hash()) != excluded.end();
         const bool isEjected = server->isEjected(now) || health.isAvoided(server->hash(), admitted.hash, now);
         const int slots = keepsReserve ? PriorityReserve::unreservedSlots(server->description().slots) : server->description().slots;
         m_candidates.push_back({ server->hash(), server->inFlight(), slots, server->pendingPrefill(), isExcluded, isEjected, server->isCold(now),
-            server->description().failureDomain == m_settings.failureDomain, m_reservationBroker != nullptr && server->isLoadOutdated() });
+            server->description().failureDomain == m_settings.failureDomain, m_reservationBroker != nullptr && server->isLoadOutdated(), isLimited, server->slowness().factor(now) });
         m_candidateServers.push_back(server);
     }
     const auto affinity = admitted.route->reusesPrefixes ? admitted.affinity : 0;
-    const auto choice = chooseServer(m_candidates, affinity, admitted.hash, m_settings.choice);
+    auto limits = m_settings.choice;
+    if (m_servers.statesSlowness(admitted.service))
+        limits.leastLoadedRule = leastLoadedRuleFor(loadAge());
+    const auto choice = chooseServer(m_candidates, affinity, admitted.hash, limits);
     if (!choice)
         return {};
     ++m_counts.placements.at(static_cast<size_t>(choice->reason));
     return { m_candidateServers[choice->index], choice->reason };
 }
 
+void TrafficEngine::recordServerLoad(BackendServer& server, const ResponseMetadata& metadata)
+{
+    const bool isStated = !metadata.isMisdirected && metadata.load && metadata.load->slownessPercent;
+    if (isStated && !m_servers.recordSlowness(server, *metadata.load->slownessPercent))
+        ++m_counts.invalidSlowness;
+}
+
 size_t TrafficEngine::waitingCount() const
 {
     size_t count = 0;
--- a/modules/borageslip_traffic/engine/TrafficEngine.h
+++ b/modules/borageslip_traffic/engine/TrafficEngine.h
@@ -9,6 +9,7 @@
 #include "../protocol/CallerProtocol.h"
 #include "../quarantine/CrashDetector.h"
 #include "../quarantine/PromptQuarantine.h"
+#include "../servers/ColdServers.h"
 #include "../servers/EvacuationControl.h"
 #include "../servers/ServerTable.h"
 #include <borageslip_scheduling/limits/FleetRetryBudget.h>
@@ -40,6 +41,8 @@
     std::optional<Duration> maxConfigurationAge {};
     /** The failure domains that may be evacuated; absent if evacuation is disabled. */
     std::optional<Evacuations::DomainSet> evacuableDomains {};
+    ColdBoundSettings coldBound {};
+    bool guardsServerMemory = false; ///< Whether requests are granted only as far as the memory of the servers holds them, @see ServerMemory.
     size_t bufferBytes = 32 * 1024 * 1024; ///< Limit of the budget for the buffers of all connections, @see MemoryBudget.
 };
 
@@ -138,9 +141,22 @@
         @param excluded hashes of the servers that must not be chosen. */
     ChosenServer choose(const AdmittedRequest&, std::span<const uint64_t> excluded);
 
+    /** Records what a response states of the load of its server. */
+    void recordServerLoad(BackendServer&, const ResponseMetadata&);
+
     /** The part of the request's prompt that other requests share. */
     static SharedPrefix sharedPrefix(const AdmittedRequest& admitted) { return { admitted.affinity, admitted.prefixTokens }; }
 
+    /** Memory of each server of the service in tokens; 0 if it is unknown or not guarded. */
+    uint64_t serverMemory(std::string_view service) const;
+    bool guardsServerMemory() const { return m_settings.guardsServerMemory; }
+
+    /** The most that the request can hold in the memory of a server; nothing where that is not guarded. */
+    RequestMemory requestMemory(const RequestMetadata&, const AdmittedRequest&) const;
+
+    /** Errors: NoEngineAvailable if the request is larger than the memory that a server has for one request. */
+    Status checkServerMemory(const RequestMetadata&, const AdmittedRequest&);
+
     /** Counts the prompt tokens of an attempt. @param uncached tokens that are not expected in the prefix cache of the server. */
     void countPrompt(const RequestMetadata&, int64_t uncached);
 
@@ -193,6 +209,8 @@
 
     ServerTable& servers() { return m_servers; }
     EvacuationControl& evacuation() { return m_evacuation; }
+    ColdServers& coldServers() { return m_coldServers; }
+    const ColdServers& coldServers() const { return m_coldServers; }
     PromptQuarantine& quarantine() { return m_quarantine; }
     CrashDetector& crashDetector() { return m_crashDetector; }
 
@@ -246,8 +264,10 @@
     std::optional<StopSchedule> m_stop;
     bool m_othersAcceptCallers = true;
     MemoryBudget m_memory;
+    TrafficCounts m_counts;
     ServerTable m_servers;
     EvacuationControl m_evacuation;
+    ColdServers m_coldServers;
     PromptQuarantine m_quarantine;
     CrashDetector m_crashDetector;
     PromptHealthListener* m_promptHealthListener = nullptr;
@@ -256,7 +276,6 @@
     std::vector<BackendServerPtr> m_candidateServers;
     size_t m_instanceCount = 1;
     ReservationBroker* m_reservationBroker = nullptr;
-    TrafficCounts m_counts;
     uint64_t m_sequenceNumber = 0;
     std::minstd_rand m_random { std::random_device {}() };
     std::array<char, scratchBytes> m_scratch {};
--- a/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
+++ b/modules/borageslip_traffic/metrics/TrafficMetrics.cpp
@@ -84,6 +84,14 @@
         return family;
     }
 
+    MetricFamily memoryDenials(const TrafficCounts& counts)
+    {
+        auto family = makeFamily("borageslip_entry_memory_denials_total", "Reservations that this coordinator denied because of the memory of a server", MetricType::Counter);
+        addSample(family, "reason", "full", static_cast<double>(counts.memoryDecisions.at(static_cast<size_t>(MemoryDecision::Full))));
+        addSample(family, "reason", "unsettled", static_cast<double>(counts.memoryDecisions.at(static_cast<size_t>(MemoryDecision::Unsettled))));
+        return family;
+    }
+
     MetricFamily placements(const TrafficCounts& counts)
     {
         auto family = makeFamily("borageslip_entry_placements_total", "Choices of a backend server, by reason", MetricType::Counter);
@@ -101,6 +109,15 @@
         return family;
     }
 
+    MetricFamily coldPermitRequests(const TrafficCounts& counts)
+    {
+        constexpr std::array<const char*, reservationOutcomeCount> names { "granted", "denied", "unanswered" };
+        auto family = makeFamily("borageslip_entry_cold_permit_requests_total", "Permits for cold servers requested from other instances, by outcome", MetricType::Counter);
+        for (size_t i = 0; i < names.size(); ++i)
+            addSample(family, "outcome", names.at(i), static_cast<double>(counts.coldPermitRequests.at(i)));
+        return family;
+    }
+
     MetricFamily slotRequests(const TrafficCounts& counts)
     {
         constexpr std::array<const char*, SlotTicket::outcomeCount> names { "withdrawn", "granted", "rejected", "unanswered" };
@@ -139,6 +156,15 @@
         return static_cast<size_t>(std::count_if(servers.begin(), servers.end(), [now](const auto& row) { return row.second->allowance().rateLimit(now).has_value(); }));
     }
 
+    constexpr double slowFactor = 1.1; ///< Smaller differences hardly change a server's share.
+
+    size_t slowServers(TrafficEngine& engine)
+    {
+        const auto now = engine.clock().now();
+        const auto& servers = engine.servers().all();
+        return static_cast<size_t>(std::count_if(servers.begin(), servers.end(), [now](const auto& row) { return row.second->slowness().factor(now) > slowFactor; }));
+    }
+
     MetricFamily servers(TrafficEngine& engine)
     {
         int ready = 0;
@@ -191,6 +217,9 @@
         placements(counts),
         reservationRequests(counts),
         counter("borageslip_entry_reservation_waits_total", "Reservation requests that waited for a slot of the server that has their prompt prefix", counts.reservationWaits),
+        counter("borageslip_entry_prefix_waits_total", "Granted requests that waited while another one prefilled their prompt prefix", counts.prefixWaits),
+        counter("borageslip_entry_prefix_waits_expired_total", "Requests that waited for a prompt prefix and were sent without news of its prefill", counts.prefixWaitsExpired),
+        counter("borageslip_entry_prefills_failed_total", "Failed prefills of shared prompt prefixes that this coordinator was told of", counts.prefillsFailed),
         slotRequests(counts),
         counter("borageslip_entry_prompt_tokens_total", "Prompt tokens of requests sent to backend servers", counts.promptTokens),
         counter("borageslip_entry_prompt_tokens_cached_total", "Prompt tokens expected to be cached where they were sent", counts.promptTokensCached),
@@ -204,6 +233,16 @@
         gauge("borageslip_entry_rate_limited_servers", "Backend servers that have named a rate limit", static_cast<double>(rateLimitedServers(m_engine))),
         counter("borageslip_entry_rate_limit_denials_total", "Reservations that this coordinator denied because of the rate limit of a server", counts.rateLimitDenials),
         counter("borageslip_entry_rate_limits_invalid_total", "Responses with a rate limit that is no number or out of range", counts.invalidRateLimits),
+        gauge("borageslip_entry_slow_servers", "Backend servers that state that work takes more than 1.1 times as long as usual", static_cast<double>(slowServers(m_engine))),
+        counter("borageslip_entry_slowness_invalid_total", "Responses whose figure of their server's speed is not positive", counts.invalidSlowness),
+        gauge("borageslip_entry_cold_servers", "Backend servers that get requests only with permits, because they are cold", static_cast<double>(m_engine.coldServers().limitedCount())),
+        gauge("borageslip_entry_cold_shares", "Quota shares of cold servers that this instance holds", static_cast<double>(m_peers.coldPermits().rights().heldCount(m_engine.clock().now()))),
+        coldPermitRequests(counts),
+        counter("borageslip_entry_cold_permits_total", "Permits for cold servers that this instance issued", counts.coldPermitsIssued),
+        counter("borageslip_entry_cold_sends_withheld_total", "Requests that were not written to a cold server for want of a valid permit", counts.coldSendsWithheld),
+        memoryDenials(counts),
+        counter("borageslip_entry_memory_rejections_total", "Requests rejected because they are larger than the memory that a server has for one request", counts.memoryRejections),
+        counter("borageslip_entry_memory_unanswered_total", "Requests not sent to a server because nobody knew how much of its memory was left", counts.memoryUnanswered),
         counter("borageslip_entry_server_crashes_total", "Crashes of backend servers with requests of this instance that they had not begun to answer", m_engine.crashDetector().crashCount()),
         counter("borageslip_entry_quarantine_rejections_total", "Requests rejected because of quarantined prompt parts", counts.quarantineRejections),
         gauge("borageslip_entry_quarantined_prompts", "Quarantined combinations of prompt parts", static_cast<double>(m_engine.quarantine().quarantined().size())),
--- a/modules/borageslip_traffic/peers/PeerLink.cpp
+++ b/modules/borageslip_traffic/peers/PeerLink.cpp
@@ -40,10 +40,12 @@
     , m_socket(engine.executor())
     , m_timer(engine.executor())
     , m_reportTable(minReportLifetime)
+    , m_memory(engine, *this, m_ownName)
     , m_pollEvent(engine.executor())
-    , m_grants(engine, m_reportTable, *this, m_ownName)
-    , m_requests(engine, *this, m_grants, m_ownName, m_incarnation)
+    , m_grants(engine, m_reportTable, m_memory, *this, m_ownName)
+    , m_requests(engine, *this, m_grants, m_memory, m_ownName, m_incarnation)
     , m_coordination(engine.clock(), *this, m_ownName, m_incarnation, engine.choiceLimits().capFactor)
+    , m_coldPermits(engine, *this, m_ownName)
 {
     m_engine.setReservationBroker(this);
     m_engine.setPromptHealthListener(this);
@@ -76,7 +78,7 @@
     return std::max<Duration>(minReportInterval, reportIntervalPerMember * m_members.size());
 }
 
-void PeerLink::setMember(Member member)
+void PeerLink::setMember(Member member, MemberListing listing)
 {
     if (member.name == m_ownName)
         return;
@@ -87,11 +89,12 @@
     }
     logEvent(Severity::Info, "member-listed", { { "member", member.name } });
     const auto name = member.name;
-    m_members[name] = { std::move(member), m_engine.clock().now() };
+    m_members[name] = { std::move(member), listing == MemberListing::Written ? m_engine.clock().now() : TimePoint() };
     m_requests.forgetTimeouts(name);
     m_coordinators.clear();
     m_reportTable.setLifetime(std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
     m_engine.setInstanceCount(m_members.size() + 1);
+    m_memory.setFleet(m_members.size() + 1, std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
 }
 
 bool PeerLink::isHeard(std::string_view name) const
@@ -119,9 +122,11 @@
         return;
     logEvent(Severity::Info, "member-removed", { { "member", name } });
     m_requests.forgetTimeouts(name);
+    m_memory.removeInstance(name);
     m_members.erase(found);
     m_coordinators.clear();
     m_engine.setInstanceCount(m_members.size() + 1);
+    m_memory.setFleet(m_members.size() + 1, std::max(minReportLifetime, reportInterval() * lostReportsBeforeExpiry));
 }
 
 void PeerLink::eraseDelistedMembers()
@@ -209,6 +214,8 @@
             m_grants.receiveReservationMessage(content, sender);
         else if constexpr (std::is_same_v<Content, ReservationReply>)
             m_requests.receiveReservationReply(content);
+        else if constexpr (std::is_same_v<Content, PrefillEndNotice>)
+            m_grants.receivePrefillEnd(content);
         else if constexpr (std::is_same_v<Content, ServerCrashNotice>)
             m_engine.quarantine().recordCrash(content.crash);
         else if constexpr (std::is_same_v<Content, ClearedPartsNotice>)
@@ -217,6 +224,8 @@
             receiveConfigurationNotice(content, sender);
         else if constexpr (std::is_same_v<Content, RateLimitsNotice>)
             recordRateLimits(content.limits);
+        else if constexpr (std::is_same_v<Content, ColdPermitRequest> || std::is_same_v<Content, ColdPermitReply> || std::is_same_v<Content, ColdServerNotice>)
+            m_coldPermits.receive(content, sender);
         else
             receiveCoordination(content, sender);
     },
@@ -270,6 +279,8 @@
 {
     recordVersion(report.configurationVersion, sender);
     recordRateLimits(report.rateLimits);
+    m_memory.receiveReport(report);
+    m_engine.servers().recordPeerSlowness(report.slowness);
     for (const auto& prompt : report.quarantined)
         m_engine.quarantine().adopt(prompt);
     const auto changes = m_reportTable.apply(std::move(report), m_engine.clock().now());
@@ -293,6 +304,11 @@
     }
 }
 
+void PeerLink::notifyPrefillEnded(const BackendServer& server, uint64_t prefix, PrefillEnd end)
+{
+    m_requests.notifyPrefillEnded(server, prefix, end);
+}
+
 void PeerLink::send(std::span<const uint8_t> bytes, const udp::endpoint& to)
 {
     // A failed send is handled like a lost datagram.
@@ -491,8 +507,10 @@
         if (now - outcomes.changedAt < reportInterval() * outcomeReportRepeats)
             report.outcomes.push_back({ server->hash(), outcomes.answers, outcomes.failures });
     }
+    report.slowness = m_engine.servers().slownessSince(now - reportInterval());
     report.quarantined = m_engine.quarantine().quarantined();
     report.configurationVersion = m_engine.configurationVersion();
+    report.memory = m_memory.reportRows();
     const auto bytes = encodePeerReport(report);
     for (const auto& [name, listed] : m_members)
         send(bytes, listed.member.peerAddress);
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -3,7 +3,9 @@
 #include "../configuration/ConfigurationRefresh.h"
 #include "../engine/TrafficEngine.h"
 #include "../net/AutoResetEvent.h"
+#include "ColdPermits.h"
 #include "Member.h"
+#include "MemoryCoordination.h"
 #include "PeerReportTable.h"
 #include "ReservationGrants.h"
 #include "ReservationRequests.h"
@@ -30,7 +32,7 @@
 
     The report interval grows with the number of members, so that the rate of datagrams that an instance sends and
     receives does not depend on the size of the fleet. Not thread-safe: call it from the event loop that owns it. */
-class PeerLink final : public ReservationBroker, private CoordinationHost, private ReservationHost, private PromptHealthListener {
+class PeerLink final : public ReservationBroker, private CoordinationHost, private ReservationHost, private PromptHealthListener, private ColdPermits::Transport {
 public:
     /** @param ownCapacity network capacity of this instance in Mbit/s; 0 when unknown. */
     PeerLink(TrafficEngine&, std::string ownName, double ownCapacity = 0);
@@ -42,8 +44,8 @@
         cannot be bound. */
     Status open(const boost::asio::ip::udp::endpoint&);
 
-    /** Adds or updates a member; the own instance is ignored. */
-    void setMember(Member);
+    /** Adds or updates a member; the own instance is ignored. A restored one gets no callers before it is heard. */
+    void setMember(Member, MemberListing = MemberListing::Written);
 
     /** Removes a member that the store no longer lists. One that is still heard and accepts callers is removed when its
         messages end: the store may reject it, so that its lease expires while it serves callers. */
@@ -75,6 +77,7 @@
 
     boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, ReservationDemand) override;
     void notifyUsageChanged(BackendServer&) override;
+    void notifyPrefillEnded(const BackendServer&, uint64_t prefix, PrefillEnd) override;
     void notifyRateLimit(const BackendServer&) override;
     void onEvacuationChanged() override;
     std::unique_ptr<SlotTicket> requestSlot(SlotDemand, std::function<void()> onDecision) override;
@@ -84,6 +87,10 @@
         @see rankedStoreSources */
     std::vector<StoreSource> storeSources(const Member& own) const;
 
+    /** Permits for cold servers. */
+    ColdPermits& coldPermits() { return m_coldPermits; }
+    const ColdPermits& coldPermits() const { return m_coldPermits; }
+
     size_t livePeerCount() const { return m_reportTable.livePeerCount(m_engine.clock().now()); }
     Duration oldestReportAge() const { return m_reportTable.maxReportAge(m_engine.clock().now()); }
     size_t memberCount() const { return m_members.size(); }
@@ -149,6 +156,13 @@
     void serverCrashed(const ServerCrash&) override;
     void partsCleared(const PromptFingerprint&) override;
 
+    void sendDatagram(std::span<const uint8_t> bytes, const boost::asio::ip::udp::endpoint& to) override
+    {
+        if (m_socket.is_open())
+            send(bytes, to);
+    }
+    void sendDatagramToAll(std::span<const uint8_t> bytes) override { sendToAll(bytes); }
+
     bool isOpen() const override { return m_socket.is_open(); }
     bool acceptsCallers() const override { return m_acceptsCallers; }
     std::vector<ReservationPeer> reservationPeers() const override;
@@ -168,6 +182,7 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     PeerReportTable m_reportTable;
+    MemoryCoordination m_memory;
     std::map<std::string, ListedMember, std::less<>> m_members;
     mutable std::map<std::string, KnownCoordinator, std::less<>> m_coordinators; ///< By service.
     CurrentSender m_currentSender;
@@ -175,6 +190,7 @@
     ReservationGrants m_grants;
     ReservationRequests m_requests;
     ServiceCoordination m_coordination;
+    ColdPermits m_coldPermits;
 };
 
 }
--- a/modules/borageslip_traffic/peers/PeerReport.h
+++ b/modules/borageslip_traffic/peers/PeerReport.h
@@ -3,11 +3,13 @@
 #include "../quarantine/PromptQuarantine.h"
 
 #include <borageslip_core/errors/Result.h>
+#include <borageslip_scheduling/placement/MemoryUsage.h>
 #include <borageslip_scheduling/placement/ServerUsage.h>
 
 #include <chrono>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -48,6 +50,15 @@
 /** Decodes a CBOR array whose first element is rateLimitsNoticeKind. Errors: InvalidMessage. */
 Result<RateLimitsNotice> rateLimitsNoticeFrom(const nlohmann::json&);
 
+/** What a response of a backend server to the sender has stated of its speed. */
+struct SlownessRow {
+    uint64_t server = 0; ///< Hash of the server's id.
+    int percent = 0; ///< Time that work takes there; 100: as usual.
+    std::chrono::milliseconds age { 0 }; ///< Since the response.
+
+    bool operator==(const SlownessRow&) const = default;
+};
+
 /** State that an instance sends periodically to all others, in one datagram. */
 struct PeerReport {
     std::string sender;
@@ -59,6 +70,8 @@
     std::vector<QuarantinedPrompt> quarantined {}; ///< As known to the sender.
     std::vector<RateLimitRow> rateLimits {}; ///< As known to the sender.
     uint64_t configurationVersion = 0; ///< Of the configuration in force at the sender; 0 for none.
+    std::vector<SlownessRow> slowness {}; ///< Of the servers whose responses have stated it since the last report.
+    std::optional<std::vector<MemoryUsage>> memory {}; ///< Of the servers at which the sender has requests; absent if it doesn't count memory.
 
     bool operator==(const PeerReport&) const = default;
 };
--- a/modules/borageslip_traffic/peers/ReservationRequests.cpp
+++ b/modules/borageslip_traffic/peers/ReservationRequests.cpp
@@ -31,10 +31,11 @@
 
 }
 
-ReservationRequests::ReservationRequests(TrafficEngine& engine, ReservationHost& host, ReservationGrants& grants, std::string ownName, uint64_t incarnation)
+ReservationRequests::ReservationRequests(TrafficEngine& engine, ReservationHost& host, ReservationGrants& grants, const MemoryCoordination& memory, std::string ownName, uint64_t incarnation)
     : m_engine(engine)
     , m_host(host)
     , m_grants(grants)
+    , m_memory(memory)
     , m_ownName(std::move(ownName))
     , m_incarnation(incarnation)
 {
@@ -103,7 +104,9 @@
 {
     const auto inFlight = static_cast<uint32_t>(server.ownInFlight());
     const auto pendingPrefill = static_cast<uint64_t>(std::max<int64_t>(0, server.ownPendingPrefill()));
-    return { m_ownName, m_incarnation, m_host.nextSequence(), { server.hash(), inFlight, pendingPrefill } };
+    ReservationMessage message { m_ownName, m_incarnation, m_host.nextSequence(), { server.hash(), inFlight, pendingPrefill } };
+    message.memory = m_memory.claim(server);
+    return message;
 }
 
 asio::awaitable<ReservationResult> ReservationRequests::requestReservation(BackendServer& server, ReservationDemand demand)
@@ -116,6 +119,7 @@
     message.promptTokens = static_cast<uint64_t>(demand.promptTokens);
     message.priority = demand.priority;
     message.waitWithin = demand.waitWithin;
+    message.memory = m_memory.claim(server, demand.memory);
     const bool isOwn = !found || !m_host.isOpen();
     const auto name = isOwn ? m_ownName : std::string(found->name);
     AutoResetEvent signal(m_engine.executor());
@@ -128,10 +132,16 @@
     const auto& pending = m_pendingRequests.at(message.sequence);
     if (!isOwn && m_host.isMember(name))
         recordReplyResult(name, pending.reply.has_value());
-    if (pending.reply && pending.reply->isWaiting) {
+    const auto askedAt = m_engine.clock().now();
+    if (pending.reply && pending.reply->isWaiting && !pending.reply->isGranted) {
         ++m_engine.counts().reservationWaits;
         co_await signal.waitFor(demand.waitWithin + replyTimeout);
     }
+    if (pending.reply && pending.reply->isWaiting && pending.reply->isGranted) {
+        const auto waited = m_engine.clock().now() - askedAt;
+        const auto within = std::max(Duration::zero(), demand.prefillWaitWithin - waited);
+        co_await awaitPrefix(server, demand.prefix, pending, within);
+    }
     const auto reply = m_pendingRequests.extract(message.sequence).mapped().reply;
     // The loads of a server that this instance coordinates are exact already.
     if (reply && !isOwn)
@@ -139,6 +149,18 @@
     co_return resultOf(server, demand, reply);
 }
 
+asio::awaitable<void> ReservationRequests::awaitPrefix(BackendServer& server, SharedPrefix prefix, const PendingRequest& pending, Duration within)
+{
+    ++m_engine.counts().prefixWaits;
+    // The coordinator no longer counts the tokens that another request prefills.
+    const auto tokens = static_cast<int64_t>(prefix.tokens);
+    server.addPendingPrefill(-tokens);
+    co_await pending.signal->waitFor(within);
+    server.addPendingPrefill(tokens);
+    if (pending.reply->isWaiting)
+        ++m_engine.counts().prefixWaitsExpired;
+}
+
 ReservationResult ReservationRequests::resultOf(BackendServer& server, const ReservationDemand& demand, const std::optional<ReservationReply>& reply)
 {
     auto outcome = ReservationOutcome::TimedOut;
@@ -152,6 +174,11 @@
         if (!reply)
             return { ReservationOutcome::Denied };
     }
+    // Without a reply, nobody knows how much of the server's memory is left.
+    if (!reply && m_memory.isGuarded(server)) {
+        ++m_engine.counts().memoryUnanswered;
+        return { ReservationOutcome::Denied };
+    }
     if (!reply) {
         const ServerUsage known { server.hash(), static_cast<uint32_t>(std::max(0, server.inFlight() - 1)), static_cast<uint64_t>(std::max<int64_t>(0, server.pendingPrefill() - demand.promptTokens)) };
         return { m_grants.canGrant(server, known, demand.limits) ? ReservationOutcome::TimedOut : ReservationOutcome::Denied };
@@ -182,4 +209,14 @@
         m_host.send(encodeReservationMessage(usageMessage(server)), found->address);
 }
 
+void ReservationRequests::notifyPrefillEnded(const BackendServer& server, uint64_t prefix, PrefillEnd end)
+{
+    const auto found = coordinator(server.hash());
+    const PrefillEndNotice notice { m_ownName, { server.hash(), prefix }, end };
+    if (!found)
+        m_grants.receivePrefillEnd(notice);
+    else if (m_host.isOpen())
+        m_host.send(encodePrefillEndNotice(notice), found->address);
+}
+
 }
--- a/modules/borageslip_traffic/peers/ReservationRequests.h
+++ b/modules/borageslip_traffic/peers/ReservationRequests.h
@@ -19,12 +19,13 @@
     @see ReservationGrants */
 class ReservationRequests {
 public:
-    ReservationRequests(TrafficEngine&, ReservationHost&, ReservationGrants&, std::string ownName, uint64_t incarnation);
+    ReservationRequests(TrafficEngine&, ReservationHost&, ReservationGrants&, const MemoryCoordination&, std::string ownName, uint64_t incarnation);
     ReservationRequests(const ReservationRequests&) = delete;
     ReservationRequests& operator=(const ReservationRequests&) = delete;
 
     boost::asio::awaitable<ReservationResult> requestReservation(BackendServer&, ReservationDemand);
     void notifyUsageChanged(BackendServer&);
+    void notifyPrefillEnded(const BackendServer&, uint64_t prefix, PrefillEnd);
     void receiveReservationReply(const ReservationReply&);
 
     /** Ends the waits for servers which have been evacuated: their coordinators may not know of it yet. */
@@ -49,6 +50,8 @@
         TimePoint excludedUntil {}; ///< Until then the instance is not used as a coordinator.
     };
 
+    /** Waits for the end of the prefill of the prefix, at most for the given time. */
+    boost::asio::awaitable<void> awaitPrefix(BackendServer&, SharedPrefix, const PendingRequest&, Duration within);
     ReservationMessage usageMessage(const BackendServer&);
     ReservationResult resultOf(BackendServer&, const ReservationDemand&, const std::optional<ReservationReply>&);
 
@@ -61,6 +64,7 @@
     TrafficEngine& m_engine;
     ReservationHost& m_host;
     ReservationGrants& m_grants;
+    const MemoryCoordination& m_memory;
     std::string m_ownName;
     uint64_t m_incarnation;
     std::unordered_map<uint64_t, PendingRequest> m_pendingRequests; ///< By sequence of the request.
--- a/modules/borageslip_traffic/servers/BackendServer.h
+++ b/modules/borageslip_traffic/servers/BackendServer.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "../net/ConnectionPool.h"
+#include <borageslip_scheduling/cold/ColdState.h>
+#include <borageslip_scheduling/placement/MemoryUsage.h>
 #include <borageslip_scheduling/placement/RecentPrefixes.h>
+#include <borageslip_scheduling/placement/ServerSlowness.h>
 #include <borageslip_scheduling/servers/SendAllowance.h>
 
 #include <borageslip_core/time/Clock.h>
@@ -23,6 +26,7 @@
     bool isDraining = false; ///< Whether it gets no new requests.
     std::chrono::milliseconds coldTimeLeft { 0 }; ///< Remaining time in which it is slow after its start.
     int64_t startedAtMs = 0; ///< Unix time of its start; a different one under the same id is a new incarnation.
+    uint64_t sequence = 0; ///< Rises with each entry that one incarnation writes; 0 if it does not count them.
 
     bool operator==(const ServerDescription&) const = default;
 };
@@ -70,10 +74,14 @@
     void inherit(const BackendServer&);
 
     /** Whether it is still slow after its start. */
-    bool isCold(TimePoint now) const { return now < m_coldUntil; }
+    bool isCold(TimePoint now) const { return m_cold.isCold(now); }
 
-    /** Assumes that it is cold for at least a time, from now on. */
-    void assumeColdFor(Duration duration) { m_coldUntil = std::max<TimePoint>(m_coldUntil, m_clock.now() + duration); }
+    /** Assumes that it is cold for a time from now, for example because its failure domain returns to service. */
+    void assumeColdFor(Duration time) { m_cold.assume(time, m_clock.now()); }
+
+    /** The indications that it is cold. */
+    ColdState& coldState() { return m_cold; }
+    const ColdState& coldState() const { return m_cold; }
 
     /** Whether it is temporarily ejected after failures, so that requests prefer other servers. */
     bool isEjected(TimePoint now) const { return now < m_ejectedUntil; }
@@ -109,9 +117,17 @@
     /** Whether the coordinator has not stated the usage by the other instances recently. */
     bool isLoadOutdated() const { return m_clock.now() - m_usageStatedAt >= statedUsageLifetime; }
 
+    /** What its responses at all instances state of its speed. */
+    ServerSlowness& slowness() { return m_slowness; }
+    const ServerSlowness& slowness() const { return m_slowness; }
+
     void beginRequest() { ++m_ownInFlight; }
     void endRequest() { --m_ownInFlight; }
 
+    /** What this instance's requests can hold in its memory. */
+    RequestMemoryCounter& ownMemory() { return m_ownMemory; }
+    const RequestMemoryCounter& ownMemory() const { return m_ownMemory; }
+
     /** Tokens of the prompts that all instances have sent to it and whose answers have not begun, from the latest known
         reports. */
     int64_t pendingPrefill() const { return m_ownPendingPrefill + m_peersPendingPrefill; }
@@ -123,6 +139,9 @@
         @return whether the prefix was recently sent before, in which case the server has probably cached it. */
     bool recordPrefix(uint64_t affinity);
 
+    /** Records that it has not cached the prefix, because the request with it failed. */
+    void forgetPrefix(uint64_t affinity);
+
     /** Totals of this instance's requests that it answered or failed, since this instance knows it. */
     struct Outcomes {
         uint32_t answers = 0;
@@ -145,8 +164,6 @@
 private:
     static constexpr Duration statedUsageLifetime = std::chrono::milliseconds(100); ///< A small part of the duration of a stream.
 
-    void setCold(std::chrono::milliseconds left);
-
     ServerDescription m_description;
     const Clock& m_clock;
     uint64_t m_hash;
@@ -159,12 +176,14 @@
     int m_ownInFlight = 0;
     int m_peersInFlight = 0;
     int64_t m_ownPendingPrefill = 0;
+    RequestMemoryCounter m_ownMemory;
     int64_t m_peersPendingPrefill = 0;
     TimePoint m_usageStatedAt {};
+    ServerSlowness m_slowness;
     std::unique_ptr<RecentPrefixes> m_recentPrefixes; ///< Null until the first prefix is recorded: few instances record prefixes of a server.
     Outcomes m_outcomes;
     int m_consecutiveFailures = 0;
-    TimePoint m_coldUntil {};
+    ColdState m_cold;
     TimePoint m_ejectedUntil {};
 };
 
--- a/modules/borageslip_traffic/servers/EvacuationControl.cpp
+++ b/modules/borageslip_traffic/servers/EvacuationControl.cpp
@@ -55,6 +55,12 @@
         applyChange("evacuation-ended", domain);
 }
 
+void EvacuationControl::restartGracePeriods()
+{
+    if (m_evacuations)
+        m_evacuations->rescheduleEnds(m_clock.now() + ServerTable::removalGracePeriod);
+}
+
 void EvacuationControl::maintain()
 {
     if (!m_evacuations)
@@ -86,6 +92,16 @@
     return isAnyEvacuated && std::none_of(servers.begin(), servers.end(), [](const auto& server) { return server->isInService(); });
 }
 
+bool EvacuationControl::countsInMean(std::string_view service) const
+{
+    if (activeCount() == 0)
+        return false;
+    const auto servers = m_servers.ofService(service);
+    const auto evacuated = std::count_if(servers.begin(), servers.end(), [](const auto& server) { return server->isEvacuated(); });
+    const auto inService = std::count_if(servers.begin(), servers.end(), [](const auto& server) { return server->isInService(); });
+    return evacuated <= inService;
+}
+
 EvacuationControl::Waiter::Waiter(EvacuationControl& control, AutoResetEvent& event)
     : m_control(control)
     , m_event(event)
--- a/modules/borageslip_traffic/servers/EvacuationControl.h
+++ b/modules/borageslip_traffic/servers/EvacuationControl.h
@@ -44,12 +44,20 @@
                            store may have had an outage that was not noticed as such. */
     void end(std::string_view domain, Removal, Duration knowledgeAge);
 
+    /** Lets the times for which missing keys are kept begin again, because operators could not write them until now. */
+    void restartGracePeriods();
+
     /** Ends evacuations whose key did not return after an outage. Should be called about once a second. */
     void maintain();
 
     /** Whether the service has servers, but none in service because of evacuations. */
     bool leavesNoServer(std::string_view service) const;
 
+    /** Whether evacuated servers of the service count in the mean that the load cap follows. The cap is a multiple of the mean
+        over all servers of a service; evacuated ones are left out when they are most of them, since the cap would then keep
+        requests from servers with free slots. */
+    bool countsInMean(std::string_view service) const;
+
     size_t activeCount() const { return m_evacuations ? m_evacuations->active().size() : 0; }
 
     /** Notifies an event of each change, for as long as this object exists. */
