--- a/modules/borageslip_scheduling/cold/ColdState.cpp
+++ b/modules/borageslip_scheduling/cold/ColdState.cpp
@@ -29,7 +29,9 @@
 void ColdState::recordStatement(Duration left, TimePoint sentAt, TimePoint now)
 {
     if (left > Duration::zero()) {
-        m_unreachableAt.reset();
+        // A response to a request from before the crash says nothing of the server's next start.
+        if (m_unreachableAt && sentAt > *m_unreachableAt)
+            m_unreachableAt.reset();
         return indicate(now + left, now);
     }
     if (sentAt <= m_indicatedAt)
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
@@ -39,9 +39,9 @@
 /** Decides when an instance reads the configuration and the evacuations besides its regular polls, and from which sources.
 
     A read is due when another instance has a newer version in force or knows of a change of the evacuations, and the
-    regular poll has not brought it, or when the knowledge of the configuration is older than a part of the time within which changes must take effect. Reads are
-    hedged: while one has no answer, the next source is asked after a short time, so that the time until a change takes
-    effect depends neither on the silence of single sources nor on their number.
+    regular poll has not brought it, or when the knowledge of the configuration is older than a part of the time within
+    which changes must take effect. Reads are hedged: while one has no answer, the next source is asked after a short time,
+    so that the time until a change takes effect depends neither on the silence of single sources nor on their number.
 
     Does no I/O: time and state are passed in. Not thread-safe.
     @see rankedStoreSources */
--- a/modules/borageslip_traffic/engine/ExchangeContext.cpp
+++ b/modules/borageslip_traffic/engine/ExchangeContext.cpp
@@ -94,11 +94,14 @@
 void ExchangeContext::recordAbandoned(const BackendServer& server)
 {
     ++engine.counts().evacuationAbandons;
-    // Nothing was sent to the server, so that the request still waits for capacity like one without an attempt.
+    // Nothing was sent to the server, so that the request still waits for capacity like one without an attempt. Without an
+    // active server, the attempt had not been recorded yet.
     if (activeServer)
         triedServers.pop_back();
     logEvent(Severity::Info, "attempt-abandoned", { { "request", metadata.requestId }, { "server", server.description().id } });
-    lastError = { ErrorKind::EngineUnreachable, "the failure domain of the backend server is evacuated" };
+    // After an attempt that was sent, its failure says more.
+    if (sendCount == 0)
+        lastError = { ErrorKind::EngineUnreachable, "the failure domain of the backend server is evacuated" };
 }
 
 void ExchangeContext::countOutcome(uint64_t TrafficCounts::*counter)
--- a/modules/borageslip_traffic/engine/ReservationWait.cpp
+++ b/modules/borageslip_traffic/engine/ReservationWait.cpp
@@ -110,10 +110,11 @@
         const auto [chosen, reason] = m_context.engine.choose(m_context.admitted, excluded);
         if (!chosen)
             break;
-        m_context.choiceReason = reason;
         const auto [server, permit] = co_await awaitPermit(chosen, excluded);
         if (!server)
             continue;
+        // A permit may be for another server than the chosen one.
+        m_context.choiceReason = server == chosen ? reason : ChoiceReason::LeastLoaded;
         auto reservation = std::make_shared<ServerReservation>(m_context.engine, server, m_context.promptTokens(), nullptr, m_context.engine.requestMemory(m_context.metadata, m_context.admitted));
         const bool waitsForSlot = prefixWaits == PrefixWait::Allowed && reason == ChoiceReason::Affinity;
         Waits waits;
--- a/modules/borageslip_traffic/peers/ReservationGrants.cpp
+++ b/modules/borageslip_traffic/peers/ReservationGrants.cpp
@@ -322,6 +322,7 @@
             const auto& message = waiter.message;
             // The tokens of the prefix were subtracted when the request was granted.
             reduceUsage(message, { hash, 1, message.promptTokens - std::min(message.promptTokens, message.prefix.tokens) });
+            m_memory.recordDenial(message);
             replyTo(message, waiter.sender, { message.sequence, false, false, { hash, 0, 0 } });
         }
     }
--- a/tests/borageslip_scheduling/ColdShareTests.cpp
+++ b/tests/borageslip_scheduling/ColdShareTests.cpp
@@ -109,6 +109,14 @@
         state.recordStatement(0s, start + 11s, start + 12s);
         CHECK_FALSE(state.isCold(start + 12s));
     }
+    SECTION("a statement on a request from before a crash does not end the suspicion")
+    {
+        state.recordUnreachable(start + 10s);
+        state.recordStatement(10ms, start + 9s, start + 11s);
+        CHECK(state.isCold(start + 12s));
+        state.recordStatement(10ms, start + 12s, start + 13s);
+        CHECK_FALSE(state.isCold(start + 14s));
+    }
 }
 
 // Guards against a right that outlives the lease because a renewal is unanswered, or because it counts from the response.
--- a/tests/borageslip_traffic/EvacuationTests.cpp
+++ b/tests/borageslip_traffic/EvacuationTests.cpp
@@ -116,7 +116,7 @@
 /** An instance without peers, and one server in each of some failure domains. */
 class Scene {
 public:
-    explicit Scene(std::vector<std::string> domains, int slots = 0)
+    explicit Scene(const std::vector<std::string>& domains, int slots = 0)
         : engine(m_clock, context.get_executor(), m_protocol, settings())
     {
         initialiseLog(Severity::Error, "tests");
@@ -349,6 +349,7 @@
     const int earlierA = scene.server("a").requests;
     const int earlierB = scene.server("b").requests;
     std::vector<Scene::Request*> requests;
+    requests.reserve(6);
     for (int i = 0; i < 6; ++i)
         requests.push_back(&scene.ask(bodyBytes));
     // After the choice of the server, and before the bytes are written: a new connection takes a turn of the event loop.
@@ -377,6 +378,7 @@
     auto& first = scene.ask();
     auto& second = scene.ask();
     std::vector<Scene::Request*> waiting;
+    waiting.reserve(5);
     for (int i = 0; i < 5; ++i)
         waiting.push_back(&scene.ask());
     scene.run(100ms);
