Ask isLimited() where maySend() repeated its condition

The last check before a request is written had the condition of ColdServers::isLimited() once more, with the sense reversed. No change of behaviour. Tested: borageslip_traffic_tests [cold], check-format.

--- a/modules/borageslip_traffic/servers/ColdServers.cpp
+++ b/modules/borageslip_traffic/servers/ColdServers.cpp
@@ -60,10 +60,9 @@
 
 bool ColdServers::maySend(const BackendServer& server, const std::optional<ColdPermit>& permit)
 {
-    const auto now = m_clock.now();
-    if (!hasLimit(server) || !server.isCold(now))
+    if (!isLimited(server))
         return true;
-    if (permit && permit->allows(server.hash(), now))
+    if (permit && permit->allows(server.hash(), m_clock.now()))
         return true;
     ++m_counts.coldSendsWithheld;
     logEvent(Severity::Info, "cold-send-withheld", { { "server", server.description().id }, { "reason", permit ? "the permit has expired" : "the server has become cold" } });
