Read the list of servers from other sources, too, once it is too old

Cause: the age of the configuration is bounded by hedged reads, the age of the list of servers was not. It came by the polls alone, from one source at a time: up to 0.6 s until a poll, 1.7 s until a silent one is given up.

Evidence (five instances, reader stopped at 0 s): at 0.87 s a follower read the operators' keys from the store, so that the store answered and had the change; its list changed at 2.251 s, when the poll was given up; requests at 2.05 s reached the leaving server. Ruled out: other sources that are late, and servers that are chosen although they are known to leave.

Change: ConfigurationRefresh also bounds the age of the list, by drain_ms; when it is over that, the reads cover all keys and count as polls.

Why this works: each answer states the age of its data, and a read that hangs is passed by after 0.1 s, so that the number of silent sources and the length of a chain do not add up.

--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
@@ -37,12 +37,18 @@
 
 }
 
-ConfigurationRefresh::ConfigurationRefresh(std::string_view ownName, Duration maxDelay)
+ConfigurationRefresh::ConfigurationRefresh(std::string_view ownName, Duration maxDelay, Duration maxServerDelay)
     : m_ownHash(hashBytes(ownName))
-    , m_maxAge(maxDelay - std::max(minReadTime, maxDelay / readTimeDivisor))
+    , m_maxAge(maxAge(maxDelay))
+    , m_maxServersAge(maxAge(maxServerDelay))
 {
 }
 
+Duration ConfigurationRefresh::maxAge(Duration maxDelay)
+{
+    return maxDelay - std::max(minReadTime, maxDelay / readTimeDivisor);
+}
+
 void ConfigurationRefresh::recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now)
 {
     announcedBy(instance).version = version;
@@ -123,12 +129,19 @@
     return sources;
 }
 
+TimePoint ConfigurationRefresh::outdatedAt(const ConfigurationKnowledge& knowledge) const
+{
+    const auto configurationOutdatedAt = knowledge.confirmedAt + m_maxAge;
+    if (!knowledge.serversConfirmedAt)
+        return configurationOutdatedAt;
+    return std::min(configurationOutdatedAt, *knowledge.serversConfirmedAt + m_maxServersAge);
+}
+
 TimePoint ConfigurationRefresh::dueAt(const ConfigurationKnowledge& knowledge, size_t instanceCount) const
 {
-    const auto outdatedAt = knowledge.confirmedAt + m_maxAge;
     if (!isBehind(knowledge))
-        return outdatedAt;
-    return std::min<TimePoint>(outdatedAt, m_awaitedSince + pollGrace + spreadPerInstance * instanceCount + readTimeFactor * knowledge.readTime);
+        return outdatedAt(knowledge);
+    return std::min<TimePoint>(outdatedAt(knowledge), m_awaitedSince + pollGrace + spreadPerInstance * instanceCount + readTimeFactor * knowledge.readTime);
 }
 
 void ConfigurationRefresh::endRound(TimePoint now)
@@ -142,7 +155,7 @@
 std::optional<ConfigurationRead> ConfigurationRefresh::next(const ConfigurationKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, size_t instanceCount, TimePoint now)
 {
     trackAwaited(knowledge, now);
-    if (!isBehind(knowledge) && !isOutdated(knowledge, now)) {
+    if (!needsRead(knowledge, now)) {
         m_asked.clear();
         m_failedRounds = 0;
         m_isValueOmitted = false;
@@ -160,7 +173,7 @@
     m_asked.push_back(*source);
     ++m_outstanding;
     m_nextReadAt = now + hedgeDelay + readTimeFactor * knowledge.readTime;
-    return ConfigurationRead { *source, !isFirst };
+    return ConfigurationRead { *source, areServersOutdated(knowledge, now) ? ReadScope::AllKeys : ReadScope::OperatorKeys, !isFirst };
 }
 
 void ConfigurationRefresh::recordResult(const StoreSource&, ConfigurationReadResult result, TimePoint now)
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
@@ -15,17 +15,25 @@
 /** Address of the instance to read from; nothing for the store itself. */
 using StoreSource = std::optional<boost::asio::ip::tcp::endpoint>;
 
-/** What an instance knows of the configuration. */
+/** What an instance knows of the store's keys. */
 struct ConfigurationKnowledge {
     uint64_t version = 0; ///< In force; 0 for none.
     TimePoint confirmedAt {}; ///< When the version in force was the newest one in the store.
     Duration readTime {}; ///< Expected for the transfer of a configuration; the next source is asked that much later.
     uint64_t knownRevision = 0; ///< Store revision up to which the evacuations are known.
+    std::optional<TimePoint> serversConfirmedAt {}; ///< When the known list of backend servers was the one in the store; nothing before it was first read.
 };
 
-/** A read of the configuration from one source. */
+/** The keys that are read. */
+enum class ReadScope {
+    OperatorKeys, ///< The configuration and the evacuations.
+    AllKeys, ///< The list of backend servers, too.
+};
+
+/** A read from one source. */
 struct ConfigurationRead {
     StoreSource source;
+    ReadScope scope = ReadScope::OperatorKeys;
     bool includesLargeValue = false; ///< Whether the source sends the configuration even if it is large.
 };
 
@@ -36,11 +44,11 @@
     Failed, ///< No answer in time, an error, or data that is out of date.
 };
 
-/** Decides when an instance reads the configuration and the evacuations besides its regular polls, and from which sources.
+/** Decides when an instance reads the store's keys besides its regular polls, and from which sources.
 
     A read is due when another instance has a newer version in force or knows of a change of the evacuations, and the
-    regular poll has not brought it, or when the knowledge of the configuration is older than a part of the time within
-    which changes must take effect. Reads are hedged: while one has no answer, the next source is asked after a short time,
+    regular poll has not brought it, or when the knowledge of the configuration or of the backend servers is older than a
+    part of the time within which their changes must take effect. Reads are hedged: while one has no answer, the next source is asked after a short time,
     so that the time until a change takes effect depends neither on the silence of single sources nor on their number.
 
     Does no I/O: time and state are passed in. Not thread-safe.
@@ -48,11 +56,15 @@
 class ConfigurationRefresh {
 public:
     /** @param ownName spreads the reads of the instances over the sources.
-        @param maxDelay time within which a change must take effect. */
-    ConfigurationRefresh(std::string_view ownName, Duration maxDelay);
+        @param maxDelay time within which a change of the configuration or of the evacuations must take effect.
+        @param maxServerDelay time within which requests must no longer be sent to a server that leaves. */
+    ConfigurationRefresh(std::string_view ownName, Duration maxDelay, Duration maxServerDelay);
+
+    /** Age of the knowledge from which it has to be confirmed, if its changes must take effect within a time. */
+    static Duration maxAge(Duration maxDelay);
 
-    /** Age of the knowledge from which it has to be confirmed. */
-    Duration maxAge() const { return m_maxAge; }
+    /** Whether a newer state than the known one was announced, or the known one is not confirmed. */
+    bool needsRead(const ConfigurationKnowledge& knowledge, TimePoint now) const { return isBehind(knowledge) || isOutdated(knowledge, now); }
 
     /** Records that an instance has a version in force. */
     void recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now);
@@ -94,7 +106,9 @@
     };
 
     bool isBehind(const ConfigurationKnowledge& knowledge) const { return Announced { m_newestAnnounced, m_newestEvacuation }.isAheadOf(knowledge); }
-    bool isOutdated(const ConfigurationKnowledge& knowledge, TimePoint now) const { return now - knowledge.confirmedAt > m_maxAge; }
+    bool isOutdated(const ConfigurationKnowledge& knowledge, TimePoint now) const { return now > outdatedAt(knowledge); }
+    bool areServersOutdated(const ConfigurationKnowledge& knowledge, TimePoint now) const { return knowledge.serversConfirmedAt && now - *knowledge.serversConfirmedAt > m_maxServersAge; }
+    TimePoint outdatedAt(const ConfigurationKnowledge&) const;
     TimePoint dueAt(const ConfigurationKnowledge&, size_t instanceCount) const;
     std::vector<StoreSource> candidates(const ConfigurationKnowledge&, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const;
     Announced& announcedBy(const boost::asio::ip::tcp::endpoint& instance);
@@ -102,7 +116,8 @@
     void trackAwaited(const ConfigurationKnowledge&, TimePoint now);
 
     uint64_t m_ownHash;
-    Duration m_maxAge;
+    Duration m_maxAge; ///< Of the knowledge of the operators' keys.
+    Duration m_maxServersAge;
     uint64_t m_newestAnnounced = 0;
     uint64_t m_newestEvacuation = 0; ///< Revision.
     Announced m_awaited; ///< What the regular poll is to bring.
--- a/tests/borageslip_traffic/ConfigurationRefreshTests.cpp
+++ b/tests/borageslip_traffic/ConfigurationRefreshTests.cpp
@@ -38,6 +38,7 @@
 enum class Change {
     Version, ///< Of the configuration.
     Evacuation,
+    Servers, ///< A server drains, or its entry is removed. Nobody announces it.
 };
 
 /** One instance whose regular polls go to its reader, which has a fault from before a change on. All times are those of a
@@ -56,18 +57,19 @@
 
     explicit Model(Setup setup)
         : m_setup(std::move(setup))
-        , m_refresh("entry-under-test", m_setup.bound)
+        , m_refresh("entry-under-test", m_setup.bound, m_setup.bound)
     {
     }
 
     /** Time from the acknowledgement of a change until it is in force. */
     Duration timeUntilInForce()
     {
-        m_knowledge = { 1, m_changedAt - m_setup.ageAtChange, {}, 1 };
-        for (m_now = m_knowledge.confirmedAt; m_now < m_changedAt + 20s; m_now += step) {
+        const auto knownAt = m_changedAt - m_setup.ageAtChange;
+        m_knowledge = { 1, knownAt, {}, 1, knownAt };
+        for (m_now = knownAt; m_now < m_changedAt + 20s; m_now += step) {
             announce();
             deliver();
-            if (m_knowledge.version == 2 || m_knowledge.knownRevision == 2)
+            if (m_isInForce)
                 return m_now - m_changedAt;
             if (const auto due = m_refresh.next(m_knowledge, m_ranked, m_reader, m_setup.instances, m_now))
                 begin(*due);
@@ -99,7 +101,7 @@
 
     void announce()
     {
-        if (!m_setup.hearsAnnouncements)
+        if (!m_setup.hearsAnnouncements || m_setup.change == Change::Servers)
             return;
         for (const auto& source : m_ranked) {
             if (!source || !hasChange(source, m_now))
@@ -143,15 +145,16 @@
             return ConfigurationReadResult::Failed;
         const auto& source = done.read.source;
         const auto knownAt = source ? lastPoll(source, done.answeredAt) : done.beganAt;
-        if (!hasChange(source, done.answeredAt)) {
-            m_knowledge.confirmedAt = std::max(m_knowledge.confirmedAt, knownAt);
-            return m_now - knownAt <= m_refresh.maxAge() ? ConfigurationReadResult::Fresh : ConfigurationReadResult::Failed;
-        }
-        if (m_setup.isValueLarge && source && !done.read.includesLargeValue)
+        const bool isChanged = hasChange(source, done.answeredAt);
+        const bool isOmitted = isChanged && m_setup.isValueLarge && source && !done.read.includesLargeValue;
+        if (isOmitted)
             return ConfigurationReadResult::ValueOmitted;
-        const bool isVersion = m_setup.change == Change::Version;
-        m_knowledge = { isVersion ? 2U : 1U, knownAt, {}, isVersion ? 1U : 2U };
-        return ConfigurationReadResult::Fresh;
+        const bool readsServers = done.read.scope == ReadScope::AllKeys;
+        m_knowledge.confirmedAt = std::max(m_knowledge.confirmedAt, knownAt);
+        if (readsServers)
+            m_knowledge.serversConfirmedAt = std::max(*m_knowledge.serversConfirmedAt, knownAt);
+        m_isInForce = isChanged && (readsServers || m_setup.change != Change::Servers);
+        return m_refresh.needsRead(m_knowledge, m_now) ? ConfigurationReadResult::Failed : ConfigurationReadResult::Fresh;
     }
 
     TimePoint lastPoll(const StoreSource& source, TimePoint now) const
@@ -170,6 +173,7 @@
     const TimePoint m_changedAt { 100s };
     TimePoint m_now {};
     ConfigurationKnowledge m_knowledge;
+    bool m_isInForce = false;
     std::vector<Read> m_reads;
 };
 
@@ -180,6 +184,20 @@
 constexpr std::array sites { Site { 9, 2s }, Site { 77, 3s }, Site { 89, 3s }, Site { 295, 4s } };
 constexpr std::array faults { Fault::Silent, Fault::Behind, Fault::Lossy };
 
+/** Calls a check for each set of silent instances that includes the reader. */
+void forEachSilentSet(const std::function<void(std::map<StoreSource, Fault>)>& check)
+{
+    constexpr uint16_t others = 3;
+    for (unsigned set = 0; set < 1U << others; ++set) {
+        std::map<StoreSource, Fault> silent { { instance(1), Fault::Silent } };
+        for (uint16_t other = 0; other < others; ++other) {
+            if (set & 1U << other)
+                silent.emplace(instance(other + 2), Fault::Silent);
+        }
+        check(std::move(silent));
+    }
+}
+
 /** Calls a check for each fault of the reader alone and beside each fault of one more source. */
 void forEachFaultPair(const std::function<void(std::map<StoreSource, Fault>)>& check)
 {
@@ -241,10 +259,52 @@
     }
 }
 
+// Guards against an instance that sends requests to a server that has left, because the instances from which it reads the
+// list are frozen, behind or on a lossy link (DRAIN). Unlike a new configuration, nobody announces the change.
+TEST_CASE("a server that leaves is known in time whatever the sources of an instance do")
+{
+    for (const auto& site : sites) {
+        Duration longest {};
+        const auto check = [&](const std::map<StoreSource, Fault>& sourceFaults) {
+            for (Duration age {}; age <= 1300ms; age += 50ms) {
+                const auto took = Model({ site.bound, site.instances, sourceFaults, false, false, age, Change::Servers }).timeUntilInForce();
+                longest = std::max(longest, took);
+            }
+        };
+        forEachFaultPair(check);
+        forEachSilentSet(check);
+        INFO(site.instances << " instances: " << longest / 1ms << " ms at most");
+        CHECK(longest > 0ms);
+        CHECK(longest <= site.bound);
+    }
+}
+
+// Guards against reads of all keys where those of the operators suffice.
+TEST_CASE("the list of servers is read only while it is not confirmed")
+{
+    ConfigurationRefresh refresh("entry-1", 2s, 3s);
+    const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2) };
+    const TimePoint now { 100s };
+    const auto scopeAt = [&](Duration configurationAge, std::optional<Duration> serversAge) {
+        ConfigurationKnowledge knowledge { 1, now - configurationAge };
+        if (serversAge)
+            knowledge.serversConfirmedAt = now - *serversAge;
+        const auto read = refresh.next(knowledge, ranked, ranked[0], 9, now);
+        if (read)
+            refresh.recordResult(read->source, ConfigurationReadResult::Failed, now);
+        return read ? std::optional(read->scope) : std::nullopt;
+    };
+    CHECK(!scopeAt(1400ms, 2200ms));
+    CHECK(!scopeAt(1400ms, std::nullopt)); // The watcher reads the list first.
+    CHECK(scopeAt(1600ms, 2200ms) == ReadScope::OperatorKeys);
+    CHECK(scopeAt(0ms, 2300ms) == ReadScope::AllKeys);
+    CHECK(scopeAt(1600ms, 2300ms) == ReadScope::AllKeys);
+}
+
 // Guards against endless reads for a revision that the store has lost.
 TEST_CASE("an announced evacuation is read once the regular poll has not brought it, and not after it is forgotten", "[evacuation]")
 {
-    ConfigurationRefresh refresh("entry-1", 3s);
+    ConfigurationRefresh refresh("entry-1", 3s, 3s);
     const TimePoint now { 100s };
     const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2), instance(3) };
     const ConfigurationKnowledge knowledge { 1, now, {}, 20 };
@@ -267,7 +327,7 @@
 
 TEST_CASE("an announced version is read from an instance that has it, without a call to the store")
 {
-    ConfigurationRefresh refresh("entry-1", 2s);
+    ConfigurationRefresh refresh("entry-1", 2s, 2s);
     const TimePoint now { 100s };
     const ConfigurationKnowledge knowledge { 1, now - 400ms };
     const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2), instance(3) };
@@ -289,7 +349,7 @@
 
 TEST_CASE("reads of the configuration become rare while no source answers")
 {
-    ConfigurationRefresh refresh("entry-1", 2s);
+    ConfigurationRefresh refresh("entry-1", 2s, 2s);
     const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2), instance(3) };
     const TimePoint begin { 100s };
     size_t reads = 0;
@@ -308,7 +368,7 @@
 
 TEST_CASE("an announcement of an older version causes no read")
 {
-    ConfigurationRefresh refresh("entry-1", 2s);
+    ConfigurationRefresh refresh("entry-1", 2s, 2s);
     const TimePoint now { 100s };
     const std::vector<StoreSource> ranked { instance(1), std::nullopt };
     refresh.recordAnnouncement(*instance(2), 7, 7, now);
@@ -424,7 +484,7 @@
 // Guards against instances that read each of many large configurations in a series, on top of their regular polls.
 TEST_CASE("versions in quick succession cause no reads while the regular polls bring some of them")
 {
-    ConfigurationRefresh refresh("entry-1", 3s);
+    ConfigurationRefresh refresh("entry-1", 3s, 3s);
     const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2), instance(3) };
     const TimePoint begin { 100s };
     ConfigurationKnowledge knowledge { 1, begin };
--- a/tests/platform/ConfigurationReaderTests.cpp
+++ b/tests/platform/ConfigurationReaderTests.cpp
@@ -99,7 +99,7 @@
     StoreWatcher m_watcher { clock, context.get_executor(), storeSource.store.endpoint(), m_counts, eras, *this };
 
 public:
-    ConfigurationReader reader { engine, m_watcher, { "own", storeSource.store.endpoint(), 2000ms, 0 }, m_counts, eras, *this };
+    ConfigurationReader reader { engine, m_watcher, { "own", storeSource.store.endpoint(), 2000ms, 2000ms, 0 }, m_counts, eras, *this };
 };
 
 }
