Only the store's own failures count as its outage

Cause: StoreWatcher counted consecutive failures of polls, whatever their source. 0.7 s of them were an outage of the store, and removals until 0.3 s after the next answer were kept back for two seconds, as if the owners of the entries could come back.

Change: StoreOutage (no I/O, times passed in) knows of failed calls of this instance to the store, and of answers: its own, and copies of other instances, which state when the store answered them. Calls to instances that fail tell nothing. Reads besides the polls count like polls. "store-call-failed" names its source; "server-removal-delayed" is new.

Why this works: an instance in touch whose store is stable has no failed call to the store, whatever its neighbours do. The protection stays where it was built for: entries that expired while the store was away.

"no booking is refused because entries expired in an outage of the store", alone and beside a frozen instance: held before and holds after. The stand-ins of StoreRestoreTests moved to StoreWatcherCase.h.

--- a/modules/borageslip_scheduling/borageslip_scheduling.h
+++ b/modules/borageslip_scheduling/borageslip_scheduling.h
@@ -37,3 +37,4 @@
 #include "servers/ServerHealth.h"
 #include "stop/StopSchedule.h"
 #include "store/StoreEraOrder.h"
+#include "store/StoreOutage.h"
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
@@ -37,6 +37,15 @@
 
 }
 
+std::string storeSourceName(const StoreSource& source)
+{
+    if (!source)
+        return "store";
+    std::ostringstream name;
+    name << *source;
+    return name.str();
+}
+
 ConfigurationRefresh::ConfigurationRefresh(std::string_view ownName, Duration maxDelay, Duration maxServerDelay)
     : m_ownHash(hashBytes(ownName))
     , m_maxAge(maxAge(maxDelay))
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
+++ b/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -15,6 +16,9 @@
 /** Address of the instance to read from; nothing for the store itself. */
 using StoreSource = std::optional<boost::asio::ip::tcp::endpoint>;
 
+/** Name of a source in logs. */
+std::string storeSourceName(const StoreSource&);
+
 /** What an instance knows of the store's keys. */
 struct ConfigurationKnowledge {
     uint64_t version = 0; ///< In force; 0 for none.
--- a/modules/borageslip_traffic/servers/ServerTable.cpp
+++ b/modules/borageslip_traffic/servers/ServerTable.cpp
@@ -122,8 +122,11 @@
 void ServerTable::scheduleRemoval(std::string_view id)
 {
     m_heldEntries.erase(std::string(id));
-    if (m_servers.find(id) != m_servers.end())
-        m_removalTimes.try_emplace(std::string(id), m_clock.now() + removalGracePeriod);
+    if (m_servers.find(id) == m_servers.end())
+        return;
+    const bool isNew = m_removalTimes.try_emplace(std::string(id), m_clock.now() + removalGracePeriod).second;
+    if (isNew)
+        logEvent(Severity::Info, "server-removal-delayed", { { "server", id } });
 }
 
 EntryVersion ServerTable::versionOf(const ServerDescription& description)
--- a/tests/platform/StoreRestoreTests.cpp
+++ b/tests/platform/StoreRestoreTests.cpp
@@ -1,12 +1,8 @@
 #include "../../platform/MemberLease.h"
 #include "../../platform/StoreKeys.h"
-#include "../../platform/StoreWatcher.h"
-#include "ScriptedStore.h"
-
-#include <borageslip_core/time/ManualClock.h>
+#include "StoreWatcherCase.h"
 
 #include <catch2/catch.hpp>
-#include <nlohmann/json.hpp>
 
 using namespace borageslip;
 using namespace borageslip::platform;
@@ -15,20 +11,6 @@
 
 namespace {
 
-using nlohmann::json;
-
-constexpr auto caseLimit = 6s;
-
-StatusResponse withEra(uint64_t era, const json& document)
-{
-    return { 200, "application/json", document.dump(), { { storeEraHeader, std::to_string(era) } } };
-}
-
-json row(const std::string& key, const std::string& bytes, uint64_t revision)
-{
-    return { { "key", key }, { "value", base64Encode(bytes) }, { "revision", revision } };
-}
-
 bool isLeaseCall(const std::string& target, std::string_view call)
 {
     return target.find(call) != std::string::npos;
@@ -76,98 +58,6 @@
     MemberLease lease { context.get_executor(), leases.store.endpoint(), counts, eras, "borageslip/members/a", "{}" };
 };
 
-/** Records what a watcher reports. */
-class RecordingListener final : public StoreWatcher::Listener {
-public:
-    explicit RecordingListener(std::vector<StoreSource> sourcesToUse)
-        : sources(std::move(sourcesToUse))
-    {
-    }
-
-    void keyWritten(std::string_view key, std::string_view bytes) override { values[std::string(key)] = bytes; }
-    void keyRemoved(std::string_view key, bool isAfterOutage) override
-    {
-        values.erase(std::string(key));
-        mayReturn[std::string(key)] = isAfterOutage;
-    }
-    void storeRestored(uint64_t era) override { eras.push_back(era); }
-    void keyRestored(std::string_view key, std::string_view bytes) override { values[std::string(key)] = bytes; }
-    bool isNewer(std::string_view, std::string_view, std::string_view) const override { return false; }
-    void synchronised(TimePoint) override { ++synchronisations; }
-    std::vector<StoreSource> storeSources() const override { return sources; }
-
-    std::vector<StoreSource> sources;
-    std::map<std::string, std::string> values;
-    std::map<std::string, bool> mayReturn;
-    std::vector<uint64_t> eras;
-    int synchronisations = 0;
-};
-
-/** Keys of a store or of an instance that serves them. */
-class KeyStore {
-public:
-    explicit KeyStore(asio::io_context& context)
-        : store(context, [this](const std::string& target) { return respond(target); })
-    {
-    }
-
-    void set(uint64_t newEra, uint64_t asOf, json newItems)
-    {
-        era = newEra;
-        revision = asOf;
-        items = std::move(newItems);
-    }
-
-    uint64_t era = 1;
-    uint64_t revision = 100;
-    json items = json::array();
-    bool changesEraBetweenPages = false;
-    ScriptedStore store;
-
-private:
-    StatusResponse respond(const std::string& target)
-    {
-        const bool isRange = target.find("kv-range") != std::string::npos;
-        if (!isRange && target.find("after=" + std::to_string(revision)) == std::string::npos)
-            return { 410, {}, {}, { { storeEraHeader, std::to_string(era) } } };
-        if (!isRange)
-            return withEra(era, { { "events", json::array() }, { "as_of", revision } });
-        const bool isFirstOfTwo = changesEraBetweenPages && target.find("after=") == std::string::npos;
-        auto page = json { { "items", items }, { "as_of", revision }, { "more_pages", isFirstOfTwo } };
-        const auto stated = era;
-        if (isFirstOfTwo) {
-            changesEraBetweenPages = false;
-            set(era + 1, 50, json::array({ row("new", "2", 40) }));
-        }
-        return withEra(stated, page);
-    }
-};
-
-struct WatcherCase {
-    explicit WatcherCase(bool followsInstance = false)
-        : listener(followsInstance ? std::vector<StoreSource> { reader.store.endpoint(), std::nullopt } : std::vector<StoreSource> { std::nullopt })
-    {
-        for (auto* keys : { &store, &reader })
-            keys->set(1, 100, json::array({ row("a", "1", 90), row("b", "1", 95) }));
-    }
-
-    bool hasValues(const std::map<std::string, std::string>& expected)
-    {
-        return runUntil(context, caseLimit, [&] { return listener.values == expected; });
-    }
-
-    asio::io_context context;
-    ManualClock clock;
-    StoreEras eras { clock };
-    StoreCallCounts counts;
-    KeyStore store { context };
-    KeyStore reader { context };
-    RecordingListener listener;
-    StoreWatcher watcher { clock, context.get_executor(), store.store.endpoint(), counts, eras, listener };
-};
-
-const std::map<std::string, std::string> s_initial { { "a", "1" }, { "b", "1" } };
-
 }
 
 // Guards against an instance that renews or ends the lease of another one, which has been granted under the same number.
@@ -245,7 +135,7 @@
 // they follow.
 TEST_CASE("a watcher waits for a source that has not noticed the new era, and reads the store only if that takes long")
 {
-    WatcherCase test(true);
+    WatcherCase test(WatcherCase::Sources::Reader);
     test.watcher.start();
     REQUIRE(test.hasValues(s_initial));
     const auto synchronisations = test.listener.synchronisations;
@@ -276,7 +166,7 @@
 // Guards against the reverse: a source that has noticed the new era first, and one of the earlier era that is asked after it.
 TEST_CASE("a watcher follows a source into the new era and takes no keys of an earlier one")
 {
-    WatcherCase test(true);
+    WatcherCase test(WatcherCase::Sources::Reader);
     test.watcher.start();
     REQUIRE(test.hasValues(s_initial));
     test.reader.set(2, 60, json::array({ row("a", "2", 50) }));
--- a/tests/platform/leaving_server_test.py
+++ b/tests/platform/leaving_server_test.py
@@ -5,11 +5,11 @@
 Real processes and the real clock. Prints one line for each check and ends with the number of failed checks.
 """
 import asyncio
+import pathlib
 import signal
 import sys
 import tempfile
 import time
-import pathlib
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from entry_test import Entry, check, failures, run_checks  # noqa: E402
@@ -19,6 +19,9 @@
 DRAIN_S = 2.0  # Default of the settings; the users' bound at nine instances.
 SETTLE_S = 0.05  # After the bound.
 BURST = 8  # Requests to each instance at the same moment.
+FREEZE_S = 4.0
+OUTAGE_S = 6.0  # Of the store.
+ENTRIES_RETURN_S = 1.2  # After the outage.
 SOURCE_RETRY_S = 5.0  # After a freeze: until the others read from the instance again.
 
 
@@ -91,6 +94,79 @@
     check("a draining server gets no late request from an instance whose source is frozen", not late, late)
 
 
+async def find_order(fleet):
+    """The instance from which the others read, and the one that takes its place while it is frozen."""
+    first = fleet.reader()
+    first.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
+    others = [entry for entry in fleet.entries if entry is not first]
+    sources = [fleet.source(entry) for entry in others]
+    second = max(others, key=sources.count)
+    first.process.send_signal(signal.SIGCONT)
+    await asyncio.sleep(SOURCE_RETRY_S)
+    return first, second
+
+
+async def check_two_frozen(fleet):
+    """Guards against requests to a server whose entry was removed while two instances are frozen (DRAIN): polls that hang at
+    instances are no outage of the store, after which entries may return."""
+    late = []
+    for turn in range(3):
+        first, second = await find_order(fleet)
+        calm = [entry for entry in fleet.entries if entry not in (first, second)]
+        first.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1)
+        second.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1.9 + 0.2 * turn)
+        leaving = fleet.servers.pop(0)
+        fleet.remove(leaving)
+        late += await fleet.late_requests(leaving, time.monotonic(), calm, f"removed-{turn}")
+        for entry in (first, second):
+            entry.process.send_signal(signal.SIGCONT)
+        await fleet.add_server()
+        await asyncio.sleep(SOURCE_RETRY_S)
+    check("a removed server gets no late request from an instance whose two sources are frozen", not late, late)
+
+
+async def check_outage(fleet, has_frozen):
+    """Guards against bookings that are refused because the entries of live servers expired while the store was away: they are
+    back soon after its return."""
+    reader = fleet.reader()
+    calm = [entry for entry in fleet.entries if entry is not reader]
+    statuses, is_ended = {}, False
+
+    async def book(entry):
+        number = 0
+        while not is_ended:
+            identity = f"book-{has_frozen}-{entry.front}-{number}"
+            statuses[identity] = (await entry.ask("/book/a", "POST", identity=identity, body=b"x")).status
+            number += 1
+            await asyncio.sleep(0.05)
+
+    fleet.store.is_down = True
+    bookings = [asyncio.ensure_future(book(entry)) for entry in calm]
+    await asyncio.sleep(OUTAGE_S - 2)
+    if has_frozen:
+        reader.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(2)
+    away, fleet.servers = fleet.servers, []
+    for server in away:
+        fleet.remove(server)
+    fleet.store.is_down = False
+    await asyncio.sleep(ENTRIES_RETURN_S)
+    fleet.servers = away
+    for server in away:
+        fleet.write(server)
+    await asyncio.sleep(3)
+    if has_frozen:
+        reader.process.send_signal(signal.SIGCONT)
+    is_ended = True
+    await asyncio.gather(*bookings)
+    refused = {identity: status for identity, status in statuses.items() if status != 200}
+    check(f"no booking is refused because entries expired in an outage of the store (frozen instance: {has_frozen})", not refused and len(statuses) > 100, f"{len(statuses)} {refused}")
+    await asyncio.sleep(SOURCE_RETRY_S)
+
+
 async def run(binary):
     store = Store()
     _, store_address = await start_server(store.serve)
@@ -98,9 +174,8 @@
     with tempfile.TemporaryDirectory() as folder:
         entries = []
         for number in range(INSTANCES):
-            path = pathlib.Path(folder) / f"entry-{number}"
-            path.mkdir()
-            entries.append(Entry(binary, path, store_address, name=f"entry-{number}"))
+            # Keys are accepted throughout the outages of the store.
+            entries.append(Entry(binary, folder, store_address, name=f"entry-{number}", revoke_ms=60_000))
         fleet = Fleet(store, entries)
         for _ in range(3):
             await fleet.add_server()
@@ -110,8 +185,10 @@
                 await entry.start()
             check("all instances are ready", all([await entry.wait_until(entry.is_ready) for entry in entries]))
             await asyncio.sleep(3)
-            for case in (check_frozen_reader,):
-                await asyncio.wait_for(case(fleet), 90)
+            await asyncio.wait_for(check_frozen_reader(fleet), 90)
+            await asyncio.wait_for(check_two_frozen(fleet), 90)
+            for has_frozen in (False, True):
+                await asyncio.wait_for(check_outage(fleet, has_frozen), 60)
         finally:
             beating.cancel()
             for entry in entries:
