Name the reads besides the polls after what they read: the keys of the store

ConfigurationRefresh and ConfigurationReader decide on and carry out reads of the list of backend servers, too. They are StoreRefresh and StoreRefresher now, their types StoreKnowledge, StoreRead and StoreReadResult. StoreRefresh and StoreReaders, which ranks the sources, stand together in borageslip_traffic/store.

--- a/modules/borageslip_traffic/borageslip_traffic.h
+++ b/modules/borageslip_traffic/borageslip_traffic.h
@@ -10,7 +10,6 @@
 
 #include "caller/CallerListener.h"
 #include "caller/CallerSession.h"
-#include "configuration/ConfigurationRefresh.h"
 #include "configuration/Route.h"
 #include "configuration/TrafficConfiguration.h"
 #include "engine/Exchange.h"
@@ -50,7 +49,6 @@
 #include "peers/ReservationRequests.h"
 #include "peers/ServiceCoordination.h"
 #include "peers/ServiceMessages.h"
-#include "peers/StoreReaders.h"
 #include "placement/ReservationBroker.h"
 #include "placement/SlotTicket.h"
 #include "protocol/CallerProtocol.h"
@@ -62,3 +60,5 @@
 #include "servers/ColdPermitSource.h"
 #include "servers/ColdServers.h"
 #include "servers/ServerTable.h"
+#include "store/StoreReaders.h"
+#include "store/StoreRefresh.h"
--- a/modules/borageslip_traffic/peers/PeerLink.h
+++ b/modules/borageslip_traffic/peers/PeerLink.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "../configuration/ConfigurationRefresh.h"
 #include "../engine/TrafficEngine.h"
 #include "../net/AutoResetEvent.h"
+#include "../store/StoreReaders.h"
+#include "../store/StoreRefresh.h"
 #include "ColdPermits.h"
 #include "Member.h"
 #include "MemoryCoordination.h"
@@ -10,7 +11,6 @@
 #include "ReservationGrants.h"
 #include "ReservationRequests.h"
 #include "ServiceCoordination.h"
-#include "StoreReaders.h"
 #include <borageslip_scheduling/placement/ReservationCoordinator.h>
 
 #include <boost/asio/ip/udp.hpp>
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.cpp
+++ b/modules/borageslip_traffic/store/StoreRefresh.cpp
@@ -1,4 +1,4 @@
-#include "ConfigurationRefresh.h"
+#include "StoreRefresh.h"
 
 #include <borageslip_core/identity/Hash.h>
 
@@ -46,19 +46,19 @@
     return name.str();
 }
 
-ConfigurationRefresh::ConfigurationRefresh(std::string_view ownName, Duration maxDelay, Duration maxServerDelay)
+StoreRefresh::StoreRefresh(std::string_view ownName, Duration maxDelay, Duration maxServerDelay)
     : m_ownHash(hashBytes(ownName))
     , m_maxAge(maxAge(maxDelay))
     , m_maxServersAge(maxAge(maxServerDelay))
 {
 }
 
-Duration ConfigurationRefresh::maxAge(Duration maxDelay)
+Duration StoreRefresh::maxAge(Duration maxDelay)
 {
     return maxDelay - std::max(minReadTime, maxDelay / readTimeDivisor);
 }
 
-void ConfigurationRefresh::recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now)
+void StoreRefresh::recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now)
 {
     announcedBy(instance).version = version;
     if (version <= m_newestAnnounced)
@@ -68,14 +68,14 @@
     trackAwaited({ versionInForce, {}, {}, m_newestEvacuation }, now);
 }
 
-ConfigurationRefresh::Announced& ConfigurationRefresh::announcedBy(const boost::asio::ip::tcp::endpoint& instance)
+StoreRefresh::Announced& StoreRefresh::announcedBy(const boost::asio::ip::tcp::endpoint& instance)
 {
     if (m_announcers.size() >= maxAnnouncers && !m_announcers.contains(instance))
         m_announcers.clear();
     return m_announcers[instance];
 }
 
-void ConfigurationRefresh::recordEvacuation(const boost::asio::ip::tcp::endpoint& instance, uint64_t revision)
+void StoreRefresh::recordEvacuation(const boost::asio::ip::tcp::endpoint& instance, uint64_t revision)
 {
     announcedBy(instance).evacuation = revision;
     if (revision <= m_newestEvacuation)
@@ -84,7 +84,7 @@
     m_failedRounds = 0;
 }
 
-void ConfigurationRefresh::forgetEvacuations()
+void StoreRefresh::forgetEvacuations()
 {
     m_newestEvacuation = 0;
     m_awaited.evacuation = 0;
@@ -92,7 +92,7 @@
         announced.evacuation = 0;
 }
 
-void ConfigurationRefresh::forgetAnnouncements()
+void StoreRefresh::forgetAnnouncements()
 {
     m_announcers.clear();
     m_newestAnnounced = 0;
@@ -101,7 +101,7 @@
     m_failedRounds = 0;
 }
 
-void ConfigurationRefresh::trackAwaited(const ConfigurationKnowledge& knowledge, TimePoint now)
+void StoreRefresh::trackAwaited(const StoreKnowledge& knowledge, TimePoint now)
 {
     // While versions come in quick succession, the polls that bring some of them suffice.
     if (m_awaited.isAheadOf(knowledge) || !isBehind(knowledge))
@@ -110,7 +110,7 @@
     m_awaitedSince = now;
 }
 
-std::vector<StoreSource> ConfigurationRefresh::candidates(const ConfigurationKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const
+std::vector<StoreSource> StoreRefresh::candidates(const StoreKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const
 {
     std::vector<std::pair<uint64_t, StoreSource>> announcers;
     for (const auto& [instance, announced] : m_announcers) {
@@ -138,22 +138,22 @@
     return sources;
 }
 
-TimePoint ConfigurationRefresh::outdatedAt(const ConfigurationKnowledge& knowledge) const
+TimePoint StoreRefresh::outdatedAt(const StoreKnowledge& knowledge) const
 {
-    const auto configurationOutdatedAt = knowledge.confirmedAt + m_maxAge;
+    const auto operatorKeysOutdatedAt = knowledge.confirmedAt + m_maxAge;
     if (!knowledge.serversConfirmedAt)
-        return configurationOutdatedAt;
-    return std::min(configurationOutdatedAt, *knowledge.serversConfirmedAt + m_maxServersAge);
+        return operatorKeysOutdatedAt;
+    return std::min(operatorKeysOutdatedAt, *knowledge.serversConfirmedAt + m_maxServersAge);
 }
 
-TimePoint ConfigurationRefresh::dueAt(const ConfigurationKnowledge& knowledge, size_t instanceCount) const
+TimePoint StoreRefresh::dueAt(const StoreKnowledge& knowledge, size_t instanceCount) const
 {
     if (!isBehind(knowledge))
         return outdatedAt(knowledge);
     return std::min<TimePoint>(outdatedAt(knowledge), m_awaitedSince + pollGrace + spreadPerInstance * instanceCount + readTimeFactor * knowledge.readTime);
 }
 
-void ConfigurationRefresh::endRound(TimePoint now)
+void StoreRefresh::endRound(TimePoint now)
 {
     m_asked.clear();
     m_isValueOmitted = false;
@@ -161,7 +161,7 @@
     ++m_failedRounds;
 }
 
-std::optional<ConfigurationRead> ConfigurationRefresh::next(const ConfigurationKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, size_t instanceCount, TimePoint now)
+std::optional<StoreRead> StoreRefresh::next(const StoreKnowledge& knowledge, std::span<const StoreSource> ranked, const StoreSource& polled, size_t instanceCount, TimePoint now)
 {
     trackAwaited(knowledge, now);
     if (!needsRead(knowledge, now)) {
@@ -182,21 +182,21 @@
     m_asked.push_back(*source);
     ++m_outstanding;
     m_nextReadAt = now + hedgeDelay + readTimeFactor * knowledge.readTime;
-    return ConfigurationRead { *source, areServersOutdated(knowledge, now) ? ReadScope::AllKeys : ReadScope::OperatorKeys, !isFirst };
+    return StoreRead { *source, areServersOutdated(knowledge, now) ? ReadScope::AllKeys : ReadScope::OperatorKeys, !isFirst };
 }
 
-void ConfigurationRefresh::recordResult(const StoreSource&, ConfigurationReadResult result, TimePoint now)
+void StoreRefresh::recordResult(const StoreSource&, StoreReadResult result, TimePoint now)
 {
     --m_outstanding;
-    if (result == ConfigurationReadResult::Fresh)
+    if (result == StoreReadResult::Fresh)
         return;
-    m_isValueOmitted |= result == ConfigurationReadResult::ValueOmitted;
+    m_isValueOmitted |= result == StoreReadResult::ValueOmitted;
     // A failure that is known need not be waited for.
     if (!m_asked.empty())
         m_nextReadAt = std::min(m_nextReadAt, now);
 }
 
-TimePoint ConfigurationRefresh::nextCheck(const ConfigurationKnowledge& knowledge, size_t instanceCount, TimePoint now) const
+TimePoint StoreRefresh::nextCheck(const StoreKnowledge& knowledge, size_t instanceCount, TimePoint now) const
 {
     const auto due = std::max(dueAt(knowledge, instanceCount), m_nextReadAt);
     // A result or an announcement comes before the time of the next read.
--- a/modules/borageslip_traffic/configuration/ConfigurationRefresh.h
+++ b/modules/borageslip_traffic/store/StoreRefresh.h
@@ -20,7 +20,7 @@
 std::string storeSourceName(const StoreSource&);
 
 /** What an instance knows of the store's keys. */
-struct ConfigurationKnowledge {
+struct StoreKnowledge {
     uint64_t version = 0; ///< In force; 0 for none.
     TimePoint confirmedAt {}; ///< When the version in force was the newest one in the store.
     Duration readTime {}; ///< Expected for the transfer of a configuration; the next source is asked that much later.
@@ -35,14 +35,14 @@
 };
 
 /** A read from one source. */
-struct ConfigurationRead {
+struct StoreRead {
     StoreSource source;
     ReadScope scope = ReadScope::OperatorKeys;
     bool includesLargeValue = false; ///< Whether the source sends the configuration even if it is large.
 };
 
-/** How a read of the configuration ended. */
-enum class ConfigurationReadResult {
+/** How such a read ended. */
+enum class StoreReadResult {
     Fresh, ///< The source has answered with data that is fresh enough.
     ValueOmitted, ///< The source has a newer configuration and left it out because it is large.
     Failed, ///< No answer in time, an error, or data that is out of date.
@@ -52,23 +52,24 @@
 
     A read is due when another instance has a newer version in force or knows of a change of the evacuations, and the
     regular poll has not brought it, or when the knowledge of the configuration or of the backend servers is older than a
-    part of the time within which their changes must take effect. Reads are hedged: while one has no answer, the next source is asked after a short time,
-    so that the time until a change takes effect depends neither on the silence of single sources nor on their number.
+    part of the time within which their changes must take effect. Reads are hedged: while one has no answer, the next source
+    is asked after a short time, so that the time until a change takes effect depends neither on the silence of single
+    sources nor on their number.
 
     Does no I/O: time and state are passed in. Not thread-safe.
     @see rankedStoreSources */
-class ConfigurationRefresh {
+class StoreRefresh {
 public:
     /** @param ownName spreads the reads of the instances over the sources.
         @param maxDelay time within which a change of the configuration or of the evacuations must take effect.
         @param maxServerDelay time within which requests must no longer be sent to a server that leaves. */
-    ConfigurationRefresh(std::string_view ownName, Duration maxDelay, Duration maxServerDelay);
+    StoreRefresh(std::string_view ownName, Duration maxDelay, Duration maxServerDelay);
 
     /** Age of the knowledge from which it has to be confirmed, if its changes must take effect within a time. */
     static Duration maxAge(Duration maxDelay);
 
     /** Whether a newer state than the known one was announced, or the known one is not confirmed. */
-    bool needsRead(const ConfigurationKnowledge& knowledge, TimePoint now) const { return isBehind(knowledge) || isOutdated(knowledge, now); }
+    bool needsRead(const StoreKnowledge& knowledge, TimePoint now) const { return isBehind(knowledge) || isOutdated(knowledge, now); }
 
     /** Records that an instance has a version in force. */
     void recordAnnouncement(const boost::asio::ip::tcp::endpoint& instance, uint64_t version, uint64_t versionInForce, TimePoint now);
@@ -93,12 +94,12 @@
         @param ranked sources in order of preference.
         @param polled the source of the regular polls; asked last, since its answer is awaited already.
         @param instanceCount delays the reads after an announcement, so that not all instances read at once. */
-    std::optional<ConfigurationRead> next(const ConfigurationKnowledge&, std::span<const StoreSource> ranked, const StoreSource& polled, size_t instanceCount, TimePoint now);
+    std::optional<StoreRead> next(const StoreKnowledge&, std::span<const StoreSource> ranked, const StoreSource& polled, size_t instanceCount, TimePoint now);
 
-    void recordResult(const StoreSource&, ConfigurationReadResult, TimePoint now);
+    void recordResult(const StoreSource&, StoreReadResult, TimePoint now);
 
     /** Time of the next call of next(). */
-    TimePoint nextCheck(const ConfigurationKnowledge&, size_t instanceCount, TimePoint now) const;
+    TimePoint nextCheck(const StoreKnowledge&, size_t instanceCount, TimePoint now) const;
 
 private:
     /** What an instance has announced. */
@@ -106,18 +107,18 @@
         uint64_t version = 0;
         uint64_t evacuation = 0; ///< Revision.
 
-        bool isAheadOf(const ConfigurationKnowledge& knowledge) const { return version > knowledge.version || evacuation > knowledge.knownRevision; }
+        bool isAheadOf(const StoreKnowledge& knowledge) const { return version > knowledge.version || evacuation > knowledge.knownRevision; }
     };
 
-    bool isBehind(const ConfigurationKnowledge& knowledge) const { return Announced { m_newestAnnounced, m_newestEvacuation }.isAheadOf(knowledge); }
-    bool isOutdated(const ConfigurationKnowledge& knowledge, TimePoint now) const { return now > outdatedAt(knowledge); }
-    bool areServersOutdated(const ConfigurationKnowledge& knowledge, TimePoint now) const { return knowledge.serversConfirmedAt && now - *knowledge.serversConfirmedAt > m_maxServersAge; }
-    TimePoint outdatedAt(const ConfigurationKnowledge&) const;
-    TimePoint dueAt(const ConfigurationKnowledge&, size_t instanceCount) const;
-    std::vector<StoreSource> candidates(const ConfigurationKnowledge&, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const;
+    bool isBehind(const StoreKnowledge& knowledge) const { return Announced { m_newestAnnounced, m_newestEvacuation }.isAheadOf(knowledge); }
+    bool isOutdated(const StoreKnowledge& knowledge, TimePoint now) const { return now > outdatedAt(knowledge); }
+    bool areServersOutdated(const StoreKnowledge& knowledge, TimePoint now) const { return knowledge.serversConfirmedAt && now - *knowledge.serversConfirmedAt > m_maxServersAge; }
+    TimePoint outdatedAt(const StoreKnowledge&) const;
+    TimePoint dueAt(const StoreKnowledge&, size_t instanceCount) const;
+    std::vector<StoreSource> candidates(const StoreKnowledge&, std::span<const StoreSource> ranked, const StoreSource& polled, TimePoint now) const;
     Announced& announcedBy(const boost::asio::ip::tcp::endpoint& instance);
     void endRound(TimePoint now);
-    void trackAwaited(const ConfigurationKnowledge&, TimePoint now);
+    void trackAwaited(const StoreKnowledge&, TimePoint now);
 
     uint64_t m_ownHash;
     Duration m_maxAge; ///< Of the knowledge of the operators' keys.
--- a/tests/borageslip_traffic/RestoredEntriesTests.cpp
+++ b/tests/borageslip_traffic/RestoredEntriesTests.cpp
@@ -155,11 +155,11 @@
 {
     const boost::asio::ip::tcp::endpoint other(boost::asio::ip::address_v4::loopback(), 1);
     const TimePoint now = TimePoint() + 1h;
-    ConfigurationRefresh refresh("own", 3000ms, 3000ms);
+    StoreRefresh refresh("own", 3000ms, 3000ms);
     refresh.recordAnnouncement(other, 8, 7, now);
-    const ConfigurationKnowledge knowledge { 7, now + 1900ms };
+    const StoreKnowledge knowledge { 7, now + 1900ms };
     CHECK(refresh.next(knowledge, {}, std::nullopt, 2, now + 2s));
-    refresh.recordResult(std::nullopt, ConfigurationReadResult::Failed, now + 2s);
+    refresh.recordResult(std::nullopt, StoreReadResult::Failed, now + 2s);
     refresh.forgetAnnouncements();
     CHECK(refresh.newestAnnounced() == 0);
     CHECK_FALSE(refresh.next(knowledge, {}, std::nullopt, 2, now + 3s));
--- a/tests/borageslip_traffic/ConfigurationRefreshTests.cpp
+++ b/tests/borageslip_traffic/StoreRefreshTests.cpp
@@ -79,7 +79,7 @@
 
 private:
     struct Read {
-        ConfigurationRead read;
+        StoreRead read;
         TimePoint beganAt {};
         TimePoint answeredAt {};
         bool hasAnswer = true;
@@ -113,7 +113,7 @@
         }
     }
 
-    void begin(const ConfigurationRead& due)
+    void begin(const StoreRead& due)
     {
         Read read { due, m_now, m_now + answerTime };
         const auto fault = faultOf(due.source);
@@ -139,22 +139,22 @@
         }
     }
 
-    ConfigurationReadResult apply(const Read& done)
+    StoreReadResult apply(const Read& done)
     {
         if (!done.hasAnswer)
-            return ConfigurationReadResult::Failed;
+            return StoreReadResult::Failed;
         const auto& source = done.read.source;
         const auto knownAt = source ? lastPoll(source, done.answeredAt) : done.beganAt;
         const bool isChanged = hasChange(source, done.answeredAt);
         const bool isOmitted = isChanged && m_setup.isValueLarge && source && !done.read.includesLargeValue;
         if (isOmitted)
-            return ConfigurationReadResult::ValueOmitted;
+            return StoreReadResult::ValueOmitted;
         const bool readsServers = done.read.scope == ReadScope::AllKeys;
         m_knowledge.confirmedAt = std::max(m_knowledge.confirmedAt, knownAt);
         if (readsServers)
             m_knowledge.serversConfirmedAt = std::max(*m_knowledge.serversConfirmedAt, knownAt);
         m_isInForce = isChanged && (readsServers || m_setup.change != Change::Servers);
-        return m_refresh.needsRead(m_knowledge, m_now) ? ConfigurationReadResult::Failed : ConfigurationReadResult::Fresh;
+        return m_refresh.needsRead(m_knowledge, m_now) ? StoreReadResult::Failed : StoreReadResult::Fresh;
     }
 
     TimePoint lastPoll(const StoreSource& source, TimePoint now) const
@@ -167,12 +167,12 @@
     }
 
     Setup m_setup;
-    ConfigurationRefresh m_refresh;
+    StoreRefresh m_refresh;
     const StoreSource m_reader = instance(1);
     const std::vector<StoreSource> m_ranked { instance(1), instance(2), std::nullopt, instance(3), instance(4) };
     const TimePoint m_changedAt { 100s };
     TimePoint m_now {};
-    ConfigurationKnowledge m_knowledge;
+    StoreKnowledge m_knowledge;
     bool m_isInForce = false;
     std::vector<Read> m_reads;
 };
@@ -282,16 +282,16 @@
 // Guards against reads of all keys where those of the operators suffice.
 TEST_CASE("the list of servers is read only while it is not confirmed")
 {
-    ConfigurationRefresh refresh("entry-1", 2s, 3s);
+    StoreRefresh refresh("entry-1", 2s, 3s);
     const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2) };
     const TimePoint now { 100s };
     const auto scopeAt = [&](Duration configurationAge, std::optional<Duration> serversAge) {
-        ConfigurationKnowledge knowledge { 1, now - configurationAge };
+        StoreKnowledge knowledge { 1, now - configurationAge };
         if (serversAge)
             knowledge.serversConfirmedAt = now - *serversAge;
         const auto read = refresh.next(knowledge, ranked, ranked[0], 9, now);
         if (read)
-            refresh.recordResult(read->source, ConfigurationReadResult::Failed, now);
+            refresh.recordResult(read->source, StoreReadResult::Failed, now);
         return read ? std::optional(read->scope) : std::nullopt;
     };
     CHECK(!scopeAt(1400ms, 2200ms));
@@ -304,10 +304,10 @@
 // Guards against endless reads for a revision that the store has lost.
 TEST_CASE("an announced evacuation is read once the regular poll has not brought it, and not after it is forgotten", "[evacuation]")
 {
-    ConfigurationRefresh refresh("entry-1", 3s, 3s);
+    StoreRefresh refresh("entry-1", 3s, 3s);
     const TimePoint now { 100s };
     const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2), instance(3) };
-    const ConfigurationKnowledge knowledge { 1, now, {}, 20 };
+    const StoreKnowledge knowledge { 1, now, {}, 20 };
     refresh.recordEvacuation(*instance(2), 20);
     CHECK(!refresh.next(knowledge, ranked, ranked[0], 9, now));
     CHECK(!refresh.next(knowledge, ranked, ranked[0], 9, now + 1500ms));
@@ -319,7 +319,7 @@
     const auto due = refresh.next(knowledge, ranked, ranked[0], 9, now + 2300ms);
     REQUIRE(due);
     CHECK(due->source == instance(3));
-    refresh.recordResult(due->source, ConfigurationReadResult::Failed, now + 2300ms);
+    refresh.recordResult(due->source, StoreReadResult::Failed, now + 2300ms);
     refresh.forgetEvacuations();
     CHECK(refresh.newestEvacuation() == 0);
     CHECK(!refresh.next({ 1, now + 2s, {}, 20 }, ranked, ranked[0], 9, now + 3s));
@@ -327,9 +327,9 @@
 
 TEST_CASE("an announced version is read from an instance that has it, without a call to the store")
 {
-    ConfigurationRefresh refresh("entry-1", 2s, 2s);
+    StoreRefresh refresh("entry-1", 2s, 2s);
     const TimePoint now { 100s };
-    const ConfigurationKnowledge knowledge { 1, now - 400ms };
+    const StoreKnowledge knowledge { 1, now - 400ms };
     const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2), instance(3) };
     CHECK(!refresh.next(knowledge, ranked, ranked[0], 9, now));
     refresh.recordAnnouncement(*instance(2), 2, 1, now);
@@ -349,7 +349,7 @@
 
 TEST_CASE("reads of the configuration become rare while no source answers")
 {
-    ConfigurationRefresh refresh("entry-1", 2s, 2s);
+    StoreRefresh refresh("entry-1", 2s, 2s);
     const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2), instance(3) };
     const TimePoint begin { 100s };
     size_t reads = 0;
@@ -360,7 +360,7 @@
             continue;
         ++reads;
         storeReads += due->source ? 0 : 1;
-        refresh.recordResult(due->source, ConfigurationReadResult::Failed, now);
+        refresh.recordResult(due->source, StoreReadResult::Failed, now);
     }
     CHECK(storeReads <= 25);
     CHECK(reads <= 100);
@@ -368,7 +368,7 @@
 
 TEST_CASE("an announcement of an older version causes no read")
 {
-    ConfigurationRefresh refresh("entry-1", 2s, 2s);
+    StoreRefresh refresh("entry-1", 2s, 2s);
     const TimePoint now { 100s };
     const std::vector<StoreSource> ranked { instance(1), std::nullopt };
     refresh.recordAnnouncement(*instance(2), 7, 7, now);
@@ -484,10 +484,10 @@
 // Guards against instances that read each of many large configurations in a series, on top of their regular polls.
 TEST_CASE("versions in quick succession cause no reads while the regular polls bring some of them")
 {
-    ConfigurationRefresh refresh("entry-1", 3s, 3s);
+    StoreRefresh refresh("entry-1", 3s, 3s);
     const std::vector<StoreSource> ranked { instance(1), std::nullopt, instance(2), instance(3) };
     const TimePoint begin { 100s };
-    ConfigurationKnowledge knowledge { 1, begin };
+    StoreKnowledge knowledge { 1, begin };
     uint64_t version = 1;
     size_t reads = 0;
     for (Duration at {}; at < 20s; at += step) {
--- a/tests/platform/StoreCacheTests.cpp
+++ b/tests/platform/StoreCacheTests.cpp
@@ -1,6 +1,6 @@
 #include "../../platform/StoreCacheServer.h"
 
-#include <borageslip_traffic/peers/StoreReaders.h>
+#include <borageslip_traffic/store/StoreReaders.h>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
--- a/tests/platform/ConfigurationReaderTests.cpp
+++ b/tests/platform/StoreRefresherTests.cpp
@@ -1,7 +1,7 @@
-#include "../../platform/ConfigurationReader.h"
 #include "../../platform/PlatformProtocol.h"
 #include "../../platform/StoreDocuments.h"
 #include "../../platform/StoreKeys.h"
+#include "../../platform/StoreRefresher.h"
 #include "ScriptedStore.h"
 
 #include <catch2/catch.hpp>
@@ -53,7 +53,7 @@
 };
 
 /** An instance that has read version 7 from the store in its era 2, and that hears of version 8 from another one. */
-class ReaderCase final : private StoreWatcher::Listener, private ConfigurationReader::Host {
+class ReaderCase final : private StoreWatcher::Listener, private StoreRefresher::Host {
 public:
     ReaderCase()
     {
@@ -99,7 +99,7 @@
     StoreWatcher m_watcher { clock, context.get_executor(), storeSource.store.endpoint(), m_counts, eras, *this };
 
 public:
-    ConfigurationReader reader { engine, m_watcher, { "own", storeSource.store.endpoint(), 2000ms, 2000ms, 0 }, m_counts, eras, *this };
+    StoreRefresher reader { engine, m_watcher, { "own", storeSource.store.endpoint(), 2000ms, 2000ms, 0 }, m_counts, eras, *this };
 };
 
 }
--- a/tests/platform/StoreRestoreLoadTests.cpp
+++ b/tests/platform/StoreRestoreLoadTests.cpp
@@ -1,5 +1,5 @@
 #include <borageslip_scheduling/borageslip_scheduling.h>
-#include <borageslip_traffic/peers/StoreReaders.h>
+#include <borageslip_traffic/store/StoreReaders.h>
 
 #include <algorithm>
 #include <catch2/catch.hpp>
