Tests of several instances share how they end

Six tests repeated the loop that kills their instances and prints the ends of their logs, four of them also the main function that entry_test offers. They use end_all() and run_checks() of entry_test now, the newest one, leaving_server_test, too.

--- a/tests/platform/cold_test.py
+++ b/tests/platform/cold_test.py
@@ -4,7 +4,6 @@
 
 Prints one line for each check and ends with the number of failed checks. Every case has a time limit.
 """
-import argparse
 import asyncio
 import pathlib
 import signal
@@ -13,7 +12,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, failures  # noqa: E402
+from entry_test import Entry, check, end_all, run_checks  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 INSTANCES = 5
@@ -218,22 +217,8 @@
             lines = [line for entry in entries for line in entry.log_lines()]
             check("the log names cold servers, why they are cold, and the shares that are held", {"started", "stated", "told"} <= {line["reason"] for line in lines if line["event"] == "server-cold"} and any(line["event"] == "cold-shares" for line in lines))
         finally:
-            for entry in entries:
-                if entry.process and entry.process.returncode is None:
-                    entry.process.kill()
-                    await entry.process.wait()
-                if failures:
-                    print(entry.path.name, entry.log_path.read_text()[-1500:])
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--bin", required=True, help="directory that contains the programs")
-    arguments = parser.parse_args()
-    asyncio.run(run(str(pathlib.Path(arguments.bin) / "borageslip-entry")))
-    print(f"{len(failures)} failed")
-    return 1 if failures else 0
+            await end_all(entries)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks(__doc__, run))
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -772,6 +772,16 @@
                 print(entry.log_path.read_text()[-6000:])
 
 
+async def end_all(entries):
+    """Kills the processes that still run. Prints the end of each log if a check has failed."""
+    for entry in entries:
+        if entry.process and entry.process.returncode is None:
+            entry.process.kill()
+            await entry.process.wait()
+        if failures:
+            print(entry.path.name, entry.log_path.read_text()[-1500:])
+
+
 def run_checks(description, run):
     """Runs the checks of a test program against borageslip-entry. Returns its exit code."""
     parser = argparse.ArgumentParser(description=description)
--- a/tests/platform/evacuation_test.py
+++ b/tests/platform/evacuation_test.py
@@ -4,7 +4,6 @@
 
 Prints one line for each check and ends with the number of failed checks. Every case has a time limit.
 """
-import argparse
 import asyncio
 import json
 import pathlib
@@ -14,7 +13,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, failures, request, read_answer, run_tool  # noqa: E402
+from entry_test import Entry, check, end_all, read_answer, request, run_checks, run_tool  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 EVACUATION_BOUND = 5  # Seconds; `evacuate_ms` in the settings.
@@ -359,22 +358,8 @@
             lines = [line for entry in entries for line in entry.log_lines()]
             check("the log has the begin and the end of evacuations", {"evacuation-begun", "evacuation-ended"} <= {line["event"] for line in lines})
         finally:
-            for entry in entries:
-                if entry.process and entry.process.returncode is None:
-                    entry.process.kill()
-                    await entry.process.wait()
-                if failures:
-                    print(entry.path.name, entry.log_path.read_text()[-1500:])
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--bin", required=True, help="directory that contains the programs")
-    arguments = parser.parse_args()
-    asyncio.run(run(str(pathlib.Path(arguments.bin) / "borageslip-entry")))
-    print(f"{len(failures)} failed")
-    return 1 if failures else 0
+            await end_all(entries)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks(__doc__, run))
--- a/tests/platform/fleet_test.py
+++ b/tests/platform/fleet_test.py
@@ -3,7 +3,6 @@
 
 Prints one line for each check and ends with the number of failed checks. Every case has a time limit.
 """
-import argparse
 import asyncio
 import pathlib
 import signal
@@ -12,7 +11,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, failures, read_answer, request, run_tool  # noqa: E402
+from entry_test import Entry, check, end_all, read_answer, request, run_checks, run_tool  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 CHANGE_BOUND = 3  # Seconds; the users' limit for this kind of site.
@@ -343,22 +342,8 @@
             await asyncio.wait_for(check_coordinator_loss(fleet, servers, signal.SIGKILL), 60)
             await asyncio.wait_for(check_invalid_rate_limits((store, [entry for entry in entries if entry.process.returncode is None]), servers), 60)
         finally:
-            for entry in entries:
-                if entry.process and entry.process.returncode is None:
-                    entry.process.kill()
-                    await entry.process.wait()
-                if failures:
-                    print(entry.path.name, entry.log_path.read_text()[-1500:])
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--bin", required=True, help="directory that contains the programs")
-    arguments = parser.parse_args()
-    asyncio.run(run(str(pathlib.Path(arguments.bin) / "borageslip-entry")))
-    print(f"{len(failures)} failed")
-    return 1 if failures else 0
+            await end_all(entries)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks(__doc__, run))
--- a/tests/platform/leaving_server_test.py
+++ b/tests/platform/leaving_server_test.py
@@ -12,7 +12,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, failures, run_checks  # noqa: E402
+from entry_test import Entry, check, end_all, run_checks  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 INSTANCES = 5
@@ -191,12 +191,7 @@
                 await asyncio.wait_for(check_outage(fleet, has_frozen), 60)
         finally:
             beating.cancel()
-            for entry in entries:
-                if entry.process and entry.process.returncode is None:
-                    entry.process.kill()
-                    await entry.process.wait()
-                if failures:
-                    print(entry.path.name, entry.log_path.read_text()[-1500:])
+            await end_all(entries)
 
 
 if __name__ == "__main__":
--- a/tests/platform/server_memory_test.py
+++ b/tests/platform/server_memory_test.py
@@ -4,7 +4,6 @@
 
 Prints one line for each check and ends with the number of failed checks. Every case has a time limit.
 """
-import argparse
 import asyncio
 import json
 import pathlib
@@ -14,7 +13,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, failures  # noqa: E402
+from entry_test import Entry, check, end_all, run_checks  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 CAPACITY = 4000  # Tokens of each server.
@@ -151,12 +150,7 @@
                 await asyncio.wait_for(check_load(entries, servers, trouble), 60)
             check("the log says when a server's memory is full", any(line["event"] == "server-memory" and line["state"] == "full" for entry in entries for line in entry.log_lines()))
         finally:
-            for entry in entries:
-                if entry.process and entry.process.returncode is None:
-                    entry.process.kill()
-                    await entry.process.wait()
-                if failures:
-                    print(entry.path.name, entry.log_path.read_text()[-1500:])
+            await end_all(entries)
 
 
 async def run(binary):
@@ -164,14 +158,5 @@
     await run_fleet(binary, ["base"])
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--bin", required=True, help="directory that contains the programs")
-    arguments = parser.parse_args()
-    asyncio.run(run(str(pathlib.Path(arguments.bin) / "borageslip-entry")))
-    print(f"{len(failures)} failed")
-    return 1 if failures else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks(__doc__, run))
--- a/tests/platform/store_restore_test.py
+++ b/tests/platform/store_restore_test.py
@@ -12,7 +12,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, failures, run_checks  # noqa: E402
+from entry_test import Entry, check, end_all, run_checks  # noqa: E402
 from fleet_test import configuration_with_new_route, is_served  # noqa: E402
 from platform_standin import BackendServer, configuration, start_server  # noqa: E402
 from restorable_store import RestorableStore  # noqa: E402
@@ -235,12 +235,7 @@
             await asyncio.wait_for(check_reports(drill), 60)
         finally:
             heartbeats.cancel()
-            for entry in drill.entries:
-                if entry.process and entry.process.returncode is None:
-                    entry.process.kill()
-                    await entry.process.wait()
-                if failures:
-                    print(entry.path.name, entry.log_path.read_text()[-1500:])
+            await end_all(drill.entries)
 
 
 if __name__ == "__main__":
