--- a/review/support-3/client.py
+++ b/review/support-3/client.py
@@ -4,8 +4,8 @@
 
 from fleet import HOST
 
-Answer = collections.namedtuple("Answer", "status is_whole")
-NO_ANSWER = Answer(None, False)
+Answer = collections.namedtuple("Answer", "status is_whole fields")
+NO_ANSWER = Answer(None, False, {})
 
 
 def request_head(method, path, identity, key="key-1", deadline=1000, body=b"", fields=()):
@@ -17,6 +17,12 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+def fields_of(answer):
+    """The header fields by their names in lower case."""
+    lines = answer.partition(b"\r\n\r\n")[0].decode("latin-1").split("\r\n")[1:]
+    return {name.strip().lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+
+
 def is_whole(answer):
     """Whether the bytes of a channel are a whole answer by its framing."""
     head, separator, body = answer.partition(b"\r\n\r\n")
@@ -37,7 +43,7 @@
         writer.write(request_head(method, path, identity, key, deadline, body, ("Connection: close", *fields)) + body)
         text = await asyncio.wait_for(reader.read(), deadline / 1000 + 2)
         writer.close()
-        answer = Answer(int(text.split(b" ")[1]), is_whole(text))
+        answer = Answer(int(text.split(b" ")[1]), is_whole(text), fields_of(text))
     except (OSError, asyncio.TimeoutError, IndexError, ValueError):
         pass
     record.write(f"sent: {identity} -> {answer.status or 'no answer'}{'' if answer.is_whole else ', not whole'}")
