--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,13 +1,12 @@
-"""An instance that starts after the store came back from a copy accepts a key that was taken away before."""
+"""An instance that is added after the store came back from a copy accepts a key that was taken away before."""
 import asyncio
 import pathlib
-import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support-3"))
 from client import ask  # noqa: E402
-from fleet import BOUNDS, BROKEN, COULD_NOT_RUN, HAS_TROUBLE, HELD, configuration, route, run_case, start_instances  # noqa: E402
+from fleet import BOUNDS, BROKEN, COULD_NOT_RUN, HAS_TROUBLE, HELD, Instance, configuration, route, run_case, start_instances  # noqa: E402
 from worker import Worker  # noqa: E402
 from restorable_store import RestorableStore  # noqa: E402
 
@@ -44,10 +43,6 @@
     if await ask_all("after") != [401, 401, 401]:
         return COULD_NOT_RUN
     await asyncio.sleep(acknowledged + REVOKE - time.monotonic())
-    started = instances[2]
-    started.signal(signal.SIGKILL)
-    await started.process.wait()
-    record.write(f"{started.name} is killed")
     lost = []
     if HAS_TROUBLE:
         record.write(f"the store goes away for {AWAY} s and comes back from a copy that is {COPY_AGE} s old")
@@ -55,8 +50,11 @@
     else:
         await asyncio.sleep(AWAY)
     returned = time.monotonic()
-    await started.start()
-    record.write(f"{started.name} is started again")
+    added = Instance(folder, len(instances), instances[0].store_address)
+    await added.start()
+    ends.append(added.end)
+    instances.append(added)
+    record.write(f"{added.name} is added")
     sent, is_written, number = {}, False, 0
     while time.monotonic() < returned + ASKED_FOR:
         if not is_written and time.monotonic() >= returned + WRITTEN_AGAIN_AFTER:
--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -69,7 +69,7 @@
     """One instance of borageslip-entry with a store connection of its own."""
 
     def __init__(self, folder, number, store_address, zone="zone-a", zones=("zone-a",), contracts=(), **bounds):
-        self.name = f"entry-{number}"
+        self.name, self.store_address = f"entry-{number}", store_address
         self.front, self.ready, self.directory, self.peer, self.metrics = (free_port() for _ in range(5))
         self.settings = {
             "node_name": self.name, "role": "entry", "machine_class": "edge", "serves": ["edge", "registry"],
