--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -28,7 +28,7 @@
     "pass_ms": 120, "reuse_window_s": 10, "cap_factor": 2, "ttl_max_s": 5,
 }
 
-_ports = itertools.count(21000 + os.getpid() % 300 * 30)
+_ports = itertools.count(21000 + os.getpid() % 110 * 100)
 
 
 def free_port():
@@ -49,10 +49,10 @@
 
 
 class Record:
-    """The file record.txt of a case, and what it counts."""
+    """The file record.txt of a case."""
 
-    def __init__(self, script):
-        self.file = open(pathlib.Path(script).resolve().parent / "record.txt", "w")
+    def __init__(self, script, name="record.txt"):
+        self.file = open(pathlib.Path(script).resolve().parent / name, "w")
         self.begun = time.monotonic()
         self.write(f"disruption: {'on' if HAS_TROUBLE else 'off'}")
 
@@ -179,9 +179,16 @@
     return instances if all(are_ready) else []
 
 
-def run_case(script, main, limit=110):
+def finish(script, record, result):
+    """Records the result and exits with it."""
+    record.write(f"result: {['the rule held', 'the rule was broken', 'the case could not run'][result]}")
+    print(f"{pathlib.Path(script).resolve().parent.name}: {['held', 'BROKEN', 'could not run'][result]}, {'with' if HAS_TROUBLE else 'without'} the disruption")
+    sys.exit(result)
+
+
+def run_case(script, main, limit=110, name="record.txt"):
     """Runs an asynchronous case with its record and a temporary folder, and exits with its result."""
-    record = Record(script)
+    record = Record(script, name)
     ends = []
 
     async def guarded():
@@ -197,6 +204,4 @@
     except Exception as problem:  # noqa: BLE001 - whatever it is, the case could not run
         record.write(f"the case could not run: {problem!r}")
         result = COULD_NOT_RUN
-    record.write(f"result: {['the rule held', 'the rule was broken', 'the case could not run'][result]}")
-    print(f"{pathlib.Path(script).resolve().parent.name}: {['held', 'BROKEN', 'could not run'][result]}, {'with' if HAS_TROUBLE else 'without'} the disruption")
-    sys.exit(result)
+    finish(script, record, result)
--- a/review/support-3/worker.py
+++ b/review/support-3/worker.py
@@ -3,7 +3,7 @@
 import contextlib
 import time
 
-from fleet import read_message, response
+from fleet import free_port, read_message, response
 
 
 def stream_head(fields):
@@ -31,7 +31,7 @@
         Worker.all.append(self)
 
     async def start(self, port=0):
-        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", port, backlog=200)
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", port or free_port(), backlog=200)
         self.address = f"127.0.0.1:{self.listener.sockets[0].getsockname()[1]}"
         self.is_listed = True
         self.beats = asyncio.ensure_future(self.beat())
