An empty list of client accounts is not the same as no list

Cause: whether keys are needed was the number of accounts, and a missing list was read as an empty one. Evidence: with one account that has no key, all are refused; with an empty list, all run without an account, also callers whose key no version ever held. That rules out a version that is late and keys that are kept.

Change: requiresKeys() is set by the list itself. The log and platform-status say whether keys are needed. Why it works: the decision now rests on what the document contains, which instances hand on byte by byte.

--- a/apps/borageslip/PlatformCommand.cpp
+++ b/apps/borageslip/PlatformCommand.cpp
@@ -158,7 +158,11 @@
     std::ostringstream text;
     if (overview.configuration) {
         status.json["version"] = overview.configuration->version();
-        text << "configuration version " << overview.configuration->version() << ", " << overview.configuration->routes().size() << " routes, " << overview.configuration->keyCount() << " keys\n";
+        text << "configuration version " << overview.configuration->version() << ", " << overview.configuration->routes().size() << " routes, ";
+        if (overview.configuration->requiresKeys())
+            text << overview.configuration->keyCount() << " keys\n";
+        else
+            text << "no key needed\n";
     } else {
         status.json["version"] = nullptr;
         text << "the store holds no valid configuration\n";
--- a/modules/borageslip_traffic/configuration/TrafficConfiguration.cpp
+++ b/modules/borageslip_traffic/configuration/TrafficConfiguration.cpp
@@ -60,8 +60,15 @@
     return *this;
 }
 
+TrafficConfigurationBuilder& TrafficConfigurationBuilder::requireKeys()
+{
+    m_configuration.m_requiresKeys = true;
+    return *this;
+}
+
 TrafficConfigurationBuilder& TrafficConfigurationBuilder::addAccount(TrafficAccount account, std::span<const std::string> keys)
 {
+    requireKeys();
     for (const auto& key : keys) {
         if (!m_configuration.m_accountByKey.emplace(key, m_configuration.m_accounts.size()).second)
             m_error = Error { ErrorKind::InvalidMessage, "client account \"" + account.name + "\" has a key that is already assigned" };
--- a/modules/borageslip_traffic/configuration/TrafficConfiguration.h
+++ b/modules/borageslip_traffic/configuration/TrafficConfiguration.h
@@ -60,8 +60,9 @@
     /** Whether the service has model engines or receives requests that are placed by their prompt prefixes. */
     bool reusesPrefixes(std::string_view service) const { return m_prefixServices.contains(service); }
 
-    /** Whether requests need an API key, unless their route allows anonymous requests. */
-    bool hasAccounts() const { return !m_accounts.empty(); }
+    /** Whether requests need an API key, unless their route allows anonymous requests. So it is if the configuration lists
+        client accounts, also where the list is empty and no key is valid. */
+    bool requiresKeys() const { return m_requiresKeys; }
 
     std::span<const Route> routes() const { return m_routes; }
     size_t keyCount() const { return m_accountByKey.size(); }
@@ -75,6 +76,7 @@
     std::map<std::string, std::vector<size_t>, std::less<>> m_routesByHost; ///< Indexes into m_routes, longest path prefix first.
     std::map<std::string, TrafficService, std::less<>> m_services;
     std::set<std::string, std::less<>> m_prefixServices;
+    bool m_requiresKeys = false;
     std::vector<TrafficAccount> m_accounts;
     std::map<std::string, size_t, std::less<>> m_accountByKey;
 };
@@ -86,6 +88,11 @@
     TrafficConfigurationBuilder& setLimits(const CallerLimits&);
     TrafficConfigurationBuilder& addRoute(Route);
     TrafficConfigurationBuilder& addService(TrafficService);
+
+    /** States that there is a list of client accounts, which may be empty. */
+    TrafficConfigurationBuilder& requireKeys();
+
+    /** Also requires keys. */
     TrafficConfigurationBuilder& addAccount(TrafficAccount, std::span<const std::string> keys);
 
     /** Errors: InvalidMessage for a route without a service or with an unknown one, a path prefix that does not start
--- a/modules/borageslip_traffic/engine/TrafficEngine.cpp
+++ b/modules/borageslip_traffic/engine/TrafficEngine.cpp
@@ -133,7 +133,7 @@
     }
     m_configuration = std::move(configuration);
     m_coldServers.setConfiguration(*m_configuration);
-    logEvent(Severity::Info, "configuration-in-force", { { "version", m_configuration->version() }, { "routes", m_configuration->routes().size() }, { "keys", m_configuration->keyCount() } });
+    logEvent(Severity::Info, "configuration-in-force", { { "version", m_configuration->version() }, { "routes", m_configuration->routes().size() }, { "requires_keys", m_configuration->requiresKeys() }, { "keys", m_configuration->keyCount() } });
 }
 
 void TrafficEngine::confirmConfiguration(TimePoint at)
@@ -176,7 +176,7 @@
 
     const auto hash = hashBytes(metadata.requestId);
     AdmittedRequest admitted { m_configuration, route, {}, 0, selectService(*route, hash), hash, affinityHash(metadata), sharedTokens(metadata) };
-    if (!m_configuration->hasAccounts())
+    if (!m_configuration->requiresKeys())
         return admitted;
     const auto* account = metadata.key.empty() ? nullptr : m_configuration->accountForKey(metadata.key);
     if (!route->allowsAnonymous && !canAcceptKeys())
--- a/tests/platform/PlatformDocumentsTests.cpp
+++ b/tests/platform/PlatformDocumentsTests.cpp
@@ -3,6 +3,8 @@
 #include <platform/PlatformSettings.h>
 #include <platform/StoreDocuments.h>
 
+#include <borageslip_core/time/ManualClock.h>
+
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -52,6 +54,61 @@
     CHECK(configuration.accountForKey("k")->name == "t");
 }
 
+// Guards against every request being let in when the last client account is taken away (ROUTE, CONFIG): an empty list of
+// accounts is not the same as no list.
+TEST_CASE("an empty list of client accounts puts no key in force, and without the list no request needs a key")
+{
+    initialiseLog(Severity::Error, "tests");
+    boost::asio::io_context context;
+    const ManualClock clock;
+    const PlatformProtocol protocol;
+    RequestMetadata metadata;
+    metadata.requestId = "r";
+    const auto admit = [&](const json& document, const char* path, std::string key) {
+        TrafficEngine engine(clock, context.get_executor(), protocol, {});
+        // Instances hand the bytes of a configuration on as they are.
+        engine.setConfiguration(std::make_shared<const TrafficConfiguration>(value(parseConfiguration(document.dump()))));
+        HttpRequest request;
+        request.set(boost::beast::http::field::host, "h");
+        request.target(path);
+        metadata.key = std::move(key);
+        return engine.admit(request, metadata);
+    };
+    const auto isRefused = [](const Result<AdmittedRequest>& admitted) { return !isOk(admitted) && error(admitted).kind == ErrorKind::Unauthenticated; };
+    auto document = configurationDocument();
+    auto openRoute = document["routes"][0];
+    openRoute["path_prefix"] = "/open/";
+    openRoute["allow_anonymous"] = true;
+    document["routes"].push_back(openRoute);
+
+    CHECK(value(admit(document, "/a/", "k")).account == "t");
+    CHECK(isRefused(admit(document, "/a/", "unknown")));
+    CHECK(isRefused(admit(document, "/a/", "")));
+
+    auto noAccounts = document;
+    noAccounts["tenants"] = json::array();
+    auto noKeys = document;
+    noKeys["tenants"][0]["api_keys"] = json::array();
+    for (const auto& withoutKeys : { noAccounts, noKeys }) {
+        for (const auto* key : { "k", "unknown", "" }) {
+            CHECK(isRefused(admit(withoutKeys, "/a/", key)));
+            CHECK(value(admit(withoutKeys, "/open/", key)).account.empty());
+        }
+    }
+
+    auto noList = document;
+    noList.erase("tenants");
+    for (const auto* key : { "k", "unknown", "" }) {
+        CHECK(value(admit(noList, "/a/", key)).account.empty());
+        CHECK(value(admit(noList, "/open/", key)).account.empty());
+    }
+
+    for (const auto& malformed : { json(nullptr), json::object(), json("t"), json(0) }) {
+        document["tenants"] = malformed;
+        CHECK_FALSE(isOk(parseConfiguration(document.dump())));
+    }
+}
+
 // Guards against an evacuation by a malformed value, and against one at a deployment whose settings do not know of it.
 TEST_CASE("the documents of an evacuation are parsed, and evacuation is disabled without its setting", "[evacuation]")
 {
