--- a/modules/borageslip_traffic/engine/ReservationWait.cpp
+++ b/modules/borageslip_traffic/engine/ReservationWait.cpp
@@ -1,6 +1,7 @@
 #include "ReservationWait.h"
 
 #include <borageslip_core/identity/Hash.h>
+#include <borageslip_core/logging/Log.h>
 
 #include <algorithm>
 
@@ -271,6 +272,7 @@
         // The coordinator knows the server, and this instance does not or no longer.
         demand.excluded.push_back(ticket->server());
         if (!server || !server->isEvacuated()) {
+            logEvent(Severity::Info, "slot-at-unknown-server", { { "request", m_context.metadata.requestId }, { "service", m_context.admitted.service }, { "coordinator", ticket->coordinator() }, { "is_listed", server != nullptr } });
             ++unknown;
             continue;
         }
