Instances answer only for the time since they have read all keys

Cause: StoreCache::changesAfter answered from any revision not below that of the last dropped tombstone, which is 0 after a start, although it knows no removal from before its first read.

Change: the cache keeps the revision after which it holds all changes, and refuses watches from before it with 410 and that revision. The reader turns to another source, mostly the store, for one poll, and reads all keys from this one only if no other answers. The same holds for a new era, for a read of all keys besides the polls, and for the operators' keys that are read apart. A key that was removed before is not taken back from an older state. Why it works: an empty list of changes is now only given where it is known to be empty.

--- a/tests/platform/StoreWatcherTests.cpp
+++ b/tests/platform/StoreWatcherTests.cpp
@@ -86,3 +86,67 @@
     REQUIRE(test.hasValues({ { "a", "1" } }));
     CHECK(test.listener.mayReturn == std::map<std::string, bool> { { "b", false } });
 }
+
+namespace {
+
+/** A reader has started again and read all keys, after a key was removed. */
+struct RestartedReaderCase : WatcherCase {
+    RestartedReaderCase()
+        : WatcherCase(Sources::Reader)
+    {
+        watcher.start();
+        REQUIRE(hasValues(s_initial));
+        reader.set(1, 110, json::array({ row("a", "1", 90) }));
+        reader.heldAfter = 110;
+        for (auto* keys : { &reader, &store })
+            keys->store.forgetCalls();
+    }
+};
+
+}
+
+// Guards against full reads by all instances that follow one which has started again, while the store or another instance
+// still has the changes.
+TEST_CASE("a source that has just started is passed over while another one has the changes")
+{
+    RestartedReaderCase test;
+    test.store.set(1, 110, json::array({ row("a", "1", 90) }));
+    test.store.changes.push_back({ { "key", "b" }, { "revision", 105 }, { "deleted", true } });
+    REQUIRE(test.hasValues({ { "a", "1" } }));
+    CHECK(test.store.store.count("kv-watch") == 1);
+    CHECK(test.watcher.cache().changesHeldAfter() == 100);
+    // It has the changes since then.
+    REQUIRE(runUntil(test.context, caseLimit, [&] { return test.reader.store.count("after=110") >= 1; }));
+    CHECK(test.store.store.count("kv-watch") == 1);
+    CHECK(test.reader.store.count("kv-range") + test.store.store.count("kv-range") == 0);
+}
+
+// Guards against a server that gets requests on and on because its removal fell into the time before the only usable source
+// had started (DRAIN), also at those who read from this instance in turn.
+TEST_CASE("all keys are read from a source that has just started if no other one answers")
+{
+    RestartedReaderCase test;
+    test.store.isFailing = true;
+    REQUIRE(test.hasValues({ { "a", "1" } }));
+    CHECK(test.reader.store.count("kv-range") == 1);
+    REQUIRE(runUntil(test.context, caseLimit, [&] { return test.watcher.cache().asOf() == 110; }));
+    CHECK_FALSE(test.watcher.cache().changesAfter(109));
+    CHECK(test.watcher.cache().changesAfter(110)->empty());
+    CHECK(test.reader.store.count("kv-range") == 1);
+}
+
+// Guards against the same after a read besides the polls.
+TEST_CASE("an instance that has read all keys besides its polls does not know the changes before")
+{
+    WatcherCase test;
+    test.watcher.start();
+    REQUIRE(test.hasValues(s_initial));
+    StorePage page { {}, 120, {}, false, 1 };
+    test.watcher.confirm(page, test.clock.now());
+    CHECK(test.watcher.cache().changesAfter(100));
+    page.asOf = 130;
+    page.holdsAllKeys = true;
+    test.watcher.confirm(page, test.clock.now());
+    CHECK_FALSE(test.watcher.cache().changesAfter(120));
+    CHECK(test.watcher.cache().changesAfter(130));
+}
