--- a/tests/platform/accounts_test.py
+++ b/tests/platform/accounts_test.py
@@ -10,8 +10,8 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, end_all, run_checks  # noqa: E402
-from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
+from entry_test import Entry, check, end_all, run_checks, start_all, start_servers  # noqa: E402
+from platform_standin import Store, configuration, start_server  # noqa: E402
 
 KEY_LIFETIME_S = 1.8  # revoke_ms of the settings, less the margin of a read.
 OUTAGE_S = 5.0  # Of the store.
@@ -168,19 +168,13 @@
 async def run(binary):
     store = Store()
     _, store_address = await start_server(store.serve)
-    servers = [BackendServer(f"i-{number}") for number in range(3)]
-    for server in servers:
-        await server.listen()
-        store.put_json(f"servers/{server.identity}", server.entry("pool"))
+    servers = await start_servers(store, 3)
     with tempfile.TemporaryDirectory() as folder:
         entries = [Entry(binary, folder, store_address), Entry(binary, folder, store_address, name="entry-2", revoke_fail_closed=False)]
         fleet = Fleet(store, entries[0], servers)
         fleet.write_configuration(7, configuration(0)["tenants"])
         try:
-            for entry in entries:
-                await entry.start()
-            are_ready = [await entry.wait_until(entry.is_ready) for entry in entries]
-            check("the instances get ready", all(are_ready))
+            await start_all(entries)
             await asyncio.wait_for(check_lists(fleet), 60)
             await asyncio.wait_for(check_first_list(fleet), 30)
             await asyncio.wait_for(check_store_outage(fleet, entries[1]), 30)
--- a/tests/platform/cold_test.py
+++ b/tests/platform/cold_test.py
@@ -12,8 +12,8 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, end_all, run_checks  # noqa: E402
-from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
+from entry_test import Entry, check, end_all, run_checks, start_all, start_servers  # noqa: E402
+from platform_standin import Store, configuration, start_server  # noqa: E402
 
 INSTANCES = 5
 SHARES = 8
@@ -189,18 +189,12 @@
 async def run(binary):
     store = Store()
     _, store.address = await start_server(store.serve)
-    servers = [BackendServer(f"i-{number}") for number in range(4)]
-    for server in servers:
-        await server.listen()
-        store.put_json(f"servers/{server.identity}", server.entry("pool"))
+    servers = await start_servers(store, 4)
     store.put_json("op/config", cold_configuration(7, has_engines=False))
     with tempfile.TemporaryDirectory() as folder:
         entries = [Entry(binary, folder, store.address, name=f"entry-{number}", cold_overage=1.5, cold_slack=5) for number in range(INSTANCES)]
         try:
-            for entry in entries:
-                await entry.start()
-            for entry in entries:
-                check("an instance becomes ready", await entry.wait_until(entry.is_ready))
+            await start_all(entries)
             fleet = (store, entries)
             check("servers of the first complete read are not assumed cold", await total(entries, "borageslip_entry_cold_servers") == 0)
             await wait_for_shares(entries, "after the start")
--- a/tests/platform/entry_test.py
+++ b/tests/platform/entry_test.py
@@ -772,6 +772,23 @@
                 print(entry.log_path.read_text()[-6000:])
 
 
+async def start_servers(store, count):
+    """Starts backend servers and lists them in the store. Returns them."""
+    servers = [BackendServer(f"i-{number}") for number in range(count)]
+    for server in servers:
+        await server.listen()
+        store.put_json(f"servers/{server.identity}", server.entry("pool"))
+    return servers
+
+
+async def start_all(entries):
+    """Starts instances and waits until all are ready."""
+    for entry in entries:
+        await entry.start()
+    for entry in entries:
+        check("an instance becomes ready", await entry.wait_until(entry.is_ready))
+
+
 async def end_all(entries):
     """Kills the processes that still run. Prints the end of each log if a check has failed."""
     for entry in entries:
--- a/tests/platform/evacuation_test.py
+++ b/tests/platform/evacuation_test.py
@@ -13,7 +13,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, end_all, read_answer, request, run_checks, run_tool  # noqa: E402
+from entry_test import Entry, check, end_all, read_answer, request, run_checks, run_tool, start_all  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 EVACUATION_BOUND = 5  # Seconds; `evacuate_ms` in the settings.
@@ -339,10 +339,7 @@
     with tempfile.TemporaryDirectory() as folder:
         entries = [make_entry(binary, folder, store.address, f"entry-{number}") for number in range(INSTANCES)]
         try:
-            for entry in entries:
-                await entry.start()
-            for entry in entries:
-                check("an instance becomes ready", await entry.wait_until(entry.is_ready))
+            await start_all(entries)
             await asyncio.sleep(2)
             fleet = (store, entries)
             await asyncio.wait_for(check_under_load(fleet, zones), 60)
--- a/tests/platform/fleet_test.py
+++ b/tests/platform/fleet_test.py
@@ -11,8 +11,8 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, end_all, read_answer, request, run_checks, run_tool  # noqa: E402
-from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
+from entry_test import Entry, check, end_all, read_answer, request, run_checks, run_tool, start_all, start_servers  # noqa: E402
+from platform_standin import Store, configuration, start_server  # noqa: E402
 
 CHANGE_BOUND = 3  # Seconds; the users' limit for this kind of site.
 FROZEN_CHANGE_BOUND = 2  # Seconds; the users' limit at nine instances, which is the default of the settings.
@@ -312,18 +312,12 @@
     _, store_address = await start_server(store.serve)
     store.address = store_address
     _, second_address = await start_server(store.serve_rejectable)
-    servers = [BackendServer(f"i-{number}") for number in range(3)]
-    for server in servers:
-        await server.listen()
-        store.put_json(f"servers/{server.identity}", server.entry("pool"))
+    servers = await start_servers(store, 3)
     store.put_json("op/config", configuration(7))
     with tempfile.TemporaryDirectory() as folder:
         entries = [Entry(binary, folder, second_address if number == INSTANCES - 1 else store_address, name=f"entry-{number}") for number in range(INSTANCES)]
         try:
-            for entry in entries:
-                await entry.start()
-            for entry in entries:
-                check("an instance becomes ready", await entry.wait_until(entry.is_ready))
+            await start_all(entries)
             await asyncio.sleep(2)
             fleet = (store, entries)
             await asyncio.wait_for(check_slots(fleet, servers), 60)
--- a/tests/platform/leaving_server_test.py
+++ b/tests/platform/leaving_server_test.py
@@ -12,7 +12,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, end_all, run_checks  # noqa: E402
+from entry_test import Entry, check, end_all, run_checks, start_all  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 INSTANCES = 5
@@ -181,9 +181,7 @@
             await fleet.add_server()
         beating = asyncio.ensure_future(fleet.beat())
         try:
-            for entry in entries:
-                await entry.start()
-            check("all instances are ready", all([await entry.wait_until(entry.is_ready) for entry in entries]))
+            await start_all(entries)
             await asyncio.sleep(3)
             await asyncio.wait_for(check_frozen_reader(fleet), 90)
             await asyncio.wait_for(check_two_frozen(fleet), 90)
--- a/tests/platform/restarted_source_test.py
+++ b/tests/platform/restarted_source_test.py
@@ -9,7 +9,7 @@
 import tempfile
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, end_all, run_checks  # noqa: E402
+from entry_test import Entry, check, end_all, run_checks, start_all  # noqa: E402
 from leaving_server_test import SOURCE_RETRY_S, Fleet as LeavingFleet  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
@@ -150,9 +150,7 @@
         for _ in range(2):
             await fleet.add_servers()
         try:
-            for entry in entries:
-                await entry.start()
-            check("all instances are ready", all([await entry.wait_until(entry.is_ready) for entry in entries]))
+            await start_all(entries)
             await asyncio.sleep(4)
             await asyncio.wait_for(check_cut_follower(fleet, access), 80)
             await asyncio.wait_for(check_calm_followers(fleet), 40)
--- a/tests/platform/server_memory_test.py
+++ b/tests/platform/server_memory_test.py
@@ -13,7 +13,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from entry_test import Entry, check, end_all, run_checks  # noqa: E402
+from entry_test import Entry, check, end_all, run_checks, start_all  # noqa: E402
 from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
 
 CAPACITY = 4000  # Tokens of each server.
@@ -135,10 +135,7 @@
         for entry in entries:
             entry.path.write_text(json.dumps({**json.loads(entry.path.read_text()), "contracts": contracts}))
         try:
-            for entry in entries:
-                await entry.start()
-            for entry in entries:
-                check("an instance becomes ready", await entry.wait_until(entry.is_ready))
+            await start_all(entries)
             await asyncio.sleep(1)
             if "pressure" not in contracts:
                 await asyncio.wait_for(load(entries, servers, "unguarded"), 60)
