Names from the store are encoded in queries and decoded where they are taken out

After a restart of all processes almost no request was served.

Cause: StoreClient put prefixes, keys and the name after which a page begins into the query as they were; StoreCacheServer took them out as they were. The rest of such a name was read as a parameter, a fragment, a blank or another name, or made the request line malformed.

The store of the tests answers by pages of four items now, decodes queries, and answers 400 to a malformed request line.

Ruled out: the value of the entry (the same values under usual names cost nothing).

Change: one function builds all queries of StoreClient and encodes the values. The encoder is the one of the other store adapter (encodePath), which moves to borageslip_core as percentEncode, with percentDecode beside it. A slash remains as it is: instances of the release before decode nothing and have to understand "op/". What they send unencoded is understood, too: a prefix with a percent sign is taken both ways, because readers select the keys that they want.

A read of all keys by RestorableStore is counted at its first page, since it has several now.

--- a/modules/borageslip_configuration/operators/FleetStatus.cpp
+++ b/modules/borageslip_configuration/operators/FleetStatus.cpp
@@ -1,6 +1,6 @@
 #include "FleetStatus.h"
 
-#include <borageslip_platform/borageslip_platform.h>
+#include <borageslip_core/encoding/PercentEncoding.h>
 
 #include <algorithm>
 #include <atomic>
@@ -109,7 +109,7 @@
 {
     bool hasAnswer = false;
     for (const auto& address : operatorAddresses) {
-        const auto answer = get(address, "/operator/explain/" + encodePath(request), timeout);
+        const auto answer = get(address, "/operator/explain/" + percentEncode(request), timeout);
         hasAnswer = hasAnswer || answer;
         if (!answer || answer->status != 200)
             continue;
--- a/modules/borageslip_core/borageslip_core.h
+++ b/modules/borageslip_core/borageslip_core.h
@@ -9,6 +9,7 @@
 
 #include "encoding/Cbor.h"
 #include "encoding/Digest.h"
+#include "encoding/PercentEncoding.h"
 #include "errors/Error.h"
 #include "errors/ErrorKind.h"
 #include "errors/Invariant.h"
--- a/modules/borageslip_platform/instances/InstanceList.cpp
+++ b/modules/borageslip_platform/instances/InstanceList.cpp
@@ -1,6 +1,7 @@
 #include "InstanceList.h"
 
 #include <algorithm>
+#include <borageslip_core/encoding/PercentEncoding.h>
 #include <nlohmann/json.hpp>
 
 namespace borageslip {
@@ -35,7 +36,7 @@
 
 Result<std::vector<Instance>> InstanceList::fetch(std::string_view service) const
 {
-    const auto result = m_connection.perform({ PlatformCall::Instances, "GET", "/v1/health/service/" + encodePath(service) });
+    const auto result = m_connection.perform({ PlatformCall::Instances, "GET", "/v1/health/service/" + percentEncode(service) });
     if (!isOk(result))
         return error(result);
     std::vector<Instance> instances;
--- a/modules/borageslip_platform/store/ConsulConnection.cpp
+++ b/modules/borageslip_platform/store/ConsulConnection.cpp
@@ -67,22 +67,4 @@
     return Error { isServerError ? lost : ErrorKind::StoreUnavailable, "platform store answered with status " + std::to_string(result->status) };
 }
 
-std::string encodePath(std::string_view path)
-{
-    constexpr std::string_view hex = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char character : path) {
-        const auto byte = static_cast<unsigned char>(character);
-        const bool isAlphanumeric = (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
-        if (isAlphanumeric || std::string_view("-._~/").find(character) != std::string_view::npos) {
-            encoded += character;
-            continue;
-        }
-        encoded += '%';
-        encoded += hex[byte >> 4];
-        encoded += hex[byte & 15];
-    }
-    return encoded;
-}
-
 }
--- a/modules/borageslip_platform/store/ConsulConnection.h
+++ b/modules/borageslip_platform/store/ConsulConnection.h
@@ -49,7 +49,4 @@
     CallBudget& m_budget;
 };
 
-/** Percent-encodes everything but unreserved characters and '/'. */
-std::string encodePath(std::string_view path);
-
 }
--- a/modules/borageslip_platform/store/ConsulStore.cpp
+++ b/modules/borageslip_platform/store/ConsulStore.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <borageslip_core/encoding/Digest.h>
+#include <borageslip_core/encoding/PercentEncoding.h>
 
 namespace borageslip {
 
@@ -36,7 +37,7 @@
 
     std::string keyPath(std::string_view key)
     {
-        return "/v1/kv/" + encodePath(key);
+        return "/v1/kv/" + percentEncode(key);
     }
 
 }
@@ -139,7 +140,7 @@
 
 Status ConsulStore::renewSession(std::string_view session)
 {
-    const auto result = m_connection.perform({ PlatformCall::Session, "PUT", "/v1/session/renew/" + encodePath(session) });
+    const auto result = m_connection.perform({ PlatformCall::Session, "PUT", "/v1/session/renew/" + percentEncode(session) });
     if (!isOk(result))
         return error(result);
     if (value(result).status == 404)
@@ -149,7 +150,7 @@
 
 Status ConsulStore::endSession(std::string_view session)
 {
-    const auto result = m_connection.perform({ PlatformCall::Session, "PUT", "/v1/session/destroy/" + encodePath(session) });
+    const auto result = m_connection.perform({ PlatformCall::Session, "PUT", "/v1/session/destroy/" + percentEncode(session) });
     if (!isOk(result))
         return error(result);
     return ok();
@@ -157,7 +158,7 @@
 
 Result<uint64_t> ConsulStore::acquire(std::string_view key, std::string_view bytes, std::string_view session)
 {
-    const auto locked = performWrite({ PlatformCall::Lock, "PUT", keyPath(key) + "?acquire=" + encodePath(session), std::string(bytes) });
+    const auto locked = performWrite({ PlatformCall::Lock, "PUT", keyPath(key) + "?acquire=" + percentEncode(session), std::string(bytes) });
     if (!isOk(locked))
         return error(locked);
     if (!value(locked))
@@ -172,7 +173,7 @@
 
 Status ConsulStore::release(std::string_view key, std::string_view session)
 {
-    const auto released = performWrite({ PlatformCall::Lock, "PUT", keyPath(key) + "?release=" + encodePath(session) });
+    const auto released = performWrite({ PlatformCall::Lock, "PUT", keyPath(key) + "?release=" + percentEncode(session) });
     if (!isOk(released))
         return error(released);
     if (!value(released))
--- a/tests/platform/StoreCacheTests.cpp
+++ b/tests/platform/StoreCacheTests.cpp
@@ -269,6 +269,34 @@
     CHECK(full["items"][0]["value"].get<std::string>().size() > 40000);
 }
 
+// Guards against an instance that does not get a large value from another one because of its name.
+TEST_CASE("a key of any name is read from the store cache")
+{
+    StoreCache cache;
+    cache.recordFullRead({}, 0);
+    const std::vector<std::string> names { "w-1", "w-1&large=0", "w+1", "w#1", "w 1", "w=1", "w?1", "w;1", "w\"\\1", "w%1", "w%41b", "wAb", "w%2541b", "w/../1", "w\r\n1", std::string("w\0x", 3), "w\xc3\xa4" };
+    uint64_t revision = 0;
+    for (const auto& name : names)
+        cache.apply({ "servers/" + name, "x", ++revision });
+    const auto keysAt = [&](const std::string& parameter) {
+        const auto document = nlohmann::json::parse(respondFromCache(cache, CacheAges(), "/borageslip/kv-range?path_prefix=" + parameter + "&large=1").body);
+        std::vector<std::string> keys;
+        for (const auto& item : document["items"])
+            keys.push_back(item["key"]);
+        return keys;
+    };
+    for (const auto& name : names) {
+        const auto key = "servers/" + name;
+        INFO(percentEncode(key));
+        CHECK(std::ranges::count(keysAt(percentEncode(key)), key) == 1);
+        // As instances of earlier releases send it, where that is a valid request.
+        const bool isSentUnencoded = std::ranges::all_of(key, [](char character) { return character > ' ' || character < 0; });
+        if (isSentUnencoded)
+            CHECK(std::ranges::count(keysAt(key), key) == 1);
+    }
+    CHECK(keysAt("").size() == names.size());
+}
+
 // Guards against an instance that misses an evacuation or its end because its reads besides the watches leave them out.
 TEST_CASE("a read of the operators' keys gets evacuations and their ends, with the age of the configuration", "[evacuation]")
 {
--- a/tests/platform/StoreClientTests.cpp
+++ b/tests/platform/StoreClientTests.cpp
@@ -1,4 +1,5 @@
 #include "../../platform/StoreClient.h"
+#include "ScriptedStore.h"
 
 #include <borageslip_traffic/net/SpawnTask.h>
 
@@ -7,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace borageslip;
 using namespace borageslip::platform;
@@ -54,3 +56,36 @@
         CHECK(taken < socketBufferBytes);
     }
 }
+
+// Guards against a name that another writer has chosen and that ends the request line or its parameter (RECOVER).
+TEST_CASE("names reach the store as they are, in a valid request line")
+{
+    std::string allBytes;
+    for (int byte = 0; byte < 256; ++byte)
+        allBytes += static_cast<char>(byte);
+    asio::io_context context;
+    std::vector<std::string> targets;
+    ScriptedStore store(context, [&](const std::string& target) {
+        targets.push_back(target);
+        return StatusResponse { 200, "application/json", R"({"items":[],"events":[],"as_of":1})" };
+    });
+    StoreCallCounts counts;
+    StoreClient client(context.get_executor(), store.endpoint(), counts);
+    const auto encoded = percentEncode(allBytes);
+    const std::vector<std::string> expected {
+        "/borageslip/kv-range?path_prefix=" + encoded + "&after=" + encoded,
+        "/borageslip/kv-range?path_prefix=" + encoded + "&large=1",
+        "/borageslip/kv-watch?path_prefix=" + encoded + "&after=7&wait_ms=1&era=2",
+        "/borageslip/kv-range?path_prefix=op/",
+    };
+    spawnTask(context.get_executor(), "call", [&]() -> asio::awaitable<void> {
+        co_await client.range(allBytes, allBytes);
+        co_await client.readKey(allBytes, StoreClient::LargeValues::Included);
+        const StorePosition after { 2, 7 };
+        co_await client.watch(allBytes, after, 1ms);
+        // Instances of earlier releases do not decode what they are asked.
+        co_await client.range("op/", {});
+    });
+    runUntil(context, 2000ms, [&] { return targets.size() == expected.size(); });
+    CHECK(targets == expected);
+}
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -5,9 +5,12 @@
 import asyncio
 import base64
 import json
+import re
 import time
 from urllib.parse import parse_qs, urlsplit
 
+PAGE_ITEMS = 4  # Most items in one answer to a range call.
+
 
 async def read_message(reader):
     """Returns (start line, headers, body), or None when the connection is closed."""
@@ -33,10 +36,18 @@
     return text.encode() + b"\r\n" + body
 
 
+def is_request_line(line):
+    """Whether the target is one word of visible ASCII whose percent signs begin an encoded byte."""
+    match = re.fullmatch(r"[A-Z]+ ([!-~]+) HTTP/1\.1", line)
+    return match is not None and re.search(r"%(?![0-9A-Fa-f]{2})", match[1]) is None
+
+
 class Store:
-    """Key-value store with revisions, a change history for watches, and leases."""
+    """Key-value store with revisions, a change history for watches, and leases. Answers range calls by pages, decodes the
+    query as one of a form, and answers 400 to a malformed request line."""
 
     def __init__(self):
+        self.page_ends = set()  # Keys that end a page, beside those that fill it.
         self.era = 0  # Stated in all answers once it is not 0.
         self.items = {}
         self.history = []
@@ -86,15 +97,22 @@
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
             self.remove(key)
 
+    def _page(self, prefix, after):
+        keys = [key for key in sorted(self.items) if key.startswith(prefix) and key > after]
+        page = keys[:PAGE_ITEMS]
+        end = next((place for place, key in enumerate(page, 1) if key in self.page_ends), len(page))
+        return response(200, json.dumps({"items": [self.items[key] for key in page[:end]], "more_pages": end < len(keys), "as_of": self.revision}).encode())
+
     async def answer(self, line, body):
+        if not is_request_line(line):
+            return response(400)
         method, target, _ = line.split(" ")
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
         self._expire()
         call = url.path.split("/")[2]
         if call == "kv-range":
-            items = [item for key, item in sorted(self.items.items()) if key.startswith(query["path_prefix"]) and key > query.get("after", "")]
-            return response(200, json.dumps({"items": items, "more_pages": False, "as_of": self.revision}).encode())
+            return self._page(query["path_prefix"], query.get("after", ""))
         if call == "kv-watch":
             return await self._watch(query)
         if call == "kv-lease":
--- a/tests/platform/restorable_store.py
+++ b/tests/platform/restorable_store.py
@@ -5,7 +5,7 @@
 import collections
 import json
 import time
-from urllib.parse import urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 from platform_standin import Store
 
@@ -68,8 +68,10 @@
 
     def begin_call(self, instance, line):
         """Records calls by an instance that contradict what it has been told."""
-        call, *rest = urlsplit(line.split(" ")[1]).path.split("/")[2:]
-        if call == "kv-range" and "path_prefix=&" in line.replace(" ", "&"):
+        url = urlsplit(line.split(" ")[1])
+        call, *rest = url.path.split("/")[2:]
+        query = parse_qs(url.query, keep_blank_values=True)
+        if call == "kv-range" and query["path_prefix"] == [""] and "after" not in query:
             self.full_reads[instance] = self.full_reads.get(instance, 0) + 1
         if call not in ("kv-keep", "kv-lease-end") or instance is None:
             return
