A read of all keys ends with an error when its pages do not go on

Cause: StoreClient::readAll asked for pages as long as the answers said that there are more. The names that were not encoded were one reason for the same page again; any store or source can be another. A page without items that said that more follow was taken for the end, so that the keys of the other pages counted as removed.

Cases: the same page, two pages by turns, no items, no items after a page.

--- a/tests/platform/StoreClientTests.cpp
+++ b/tests/platform/StoreClientTests.cpp
@@ -89,3 +89,71 @@
     runUntil(context, 2000ms, [&] { return targets.size() == expected.size(); });
     CHECK(targets == expected);
 }
+
+namespace {
+
+nlohmann::json pageOf(const std::vector<std::string>& keys, bool hasMore)
+{
+    auto items = nlohmann::json::array();
+    for (const auto& key : keys)
+        items.push_back({ { "key", key }, { "value", "" }, { "revision", 5 } });
+    return { { "items", std::move(items) }, { "as_of", 9 }, { "more_pages", hasMore } };
+}
+
+/** Reads all keys from a store that answers range calls with pages in turn, the last one again and again. */
+struct PagedRead {
+    explicit PagedRead(std::vector<nlohmann::json> pages)
+    {
+        size_t next = 0;
+        asio::io_context context;
+        ScriptedStore store(context, [&](const std::string&) {
+            const auto& page = pages.at(std::min(next, pages.size() - 1));
+            ++next;
+            return StatusResponse { 200, "application/json", page.dump() };
+        });
+        StoreCallCounts counts;
+        StoreClient client(context.get_executor(), store.endpoint(), counts);
+        spawnTask(context.get_executor(), "read", [&]() -> asio::awaitable<void> {
+            const std::function<void(const StoreItem&)> handleItem = [this](const StoreItem& item) { keys.push_back(item.key); };
+            result = co_await client.readAll("", handleItem);
+        });
+        hasEnded = runUntil(context, 1000ms, [&] { return result.has_value(); });
+        calls = store.count("kv-range");
+    }
+
+    std::vector<std::string> keys;
+    std::optional<Result<StorePage>> result;
+    bool hasEnded = false;
+    size_t calls = 0;
+};
+
+}
+
+// Guards against a store or another instance that is read without a pause for ever, because a page begins where an earlier one
+// did.
+TEST_CASE("a read of all keys ends with an error when its pages do not go on")
+{
+    const auto first = pageOf({ "a", "b" }, true);
+    const auto second = pageOf({ "c" }, true);
+    const auto empty = pageOf({}, true);
+    const std::vector<std::vector<nlohmann::json>> cases { { first }, { first, second, first, second, first }, { first, second, second }, { empty }, { first, empty } };
+    for (const auto& pages : cases) {
+        const PagedRead read(pages);
+        INFO("the case has " << pages.size() << " pages; calls " << read.calls);
+        REQUIRE(read.hasEnded);
+        REQUIRE_FALSE(isOk(*read.result));
+        CHECK(error(*read.result).kind == ErrorKind::StoreUnavailable);
+        CHECK(read.calls <= pages.size() + 1);
+    }
+}
+
+TEST_CASE("a read of all keys has all pages")
+{
+    const PagedRead read(std::vector<nlohmann::json> { pageOf({ "a", "b" }, true), pageOf({ "c" }, true), pageOf({ "d", "e" }, false) });
+    REQUIRE(read.hasEnded);
+    CHECK(isOk(*read.result));
+    CHECK(read.keys == std::vector<std::string> { "a", "b", "c", "d", "e" });
+    const PagedRead none(std::vector<nlohmann::json> { pageOf({}, false) });
+    REQUIRE(none.hasEnded);
+    CHECK(isOk(*none.result));
+}
