A source whose refusal contradicts itself is passed over for a while

StoreWatcher took it for a source that has the changes.

No real instance has been seen to answer so.

--- a/tests/platform/StoreWatcherTests.cpp
+++ b/tests/platform/StoreWatcherTests.cpp
@@ -150,3 +150,19 @@
     CHECK_FALSE(test.watcher.cache().changesAfter(120));
     CHECK(test.watcher.cache().changesAfter(130));
 }
+
+// Guards against a source that is asked without a pause because it refuses changes that it states to hold.
+TEST_CASE("a source whose refusal contradicts itself is passed over for a while")
+{
+    WatcherCase test(WatcherCase::Sources::Reader);
+    test.watcher.start();
+    REQUIRE(test.hasValues(s_initial));
+    test.reader.set(1, 110, json::array({ row("a", "1", 90) }));
+    test.reader.heldAfter = 50;
+    test.store.set(1, 110, json::array({ row("a", "1", 90) }));
+    test.store.changes.push_back({ { "key", "b" }, { "revision", 105 }, { "deleted", true } });
+    test.reader.store.forgetCalls();
+    CHECK(test.hasValues({ { "a", "1" } }));
+    CHECK(test.reader.store.count("kv-") <= 2);
+    CHECK(test.store.store.count("kv-watch") == 1);
+}
