An entry whose name cannot be sent in a header field is no backend server

Cause: the identity was set as the value of a field without a check.

Evidence: odd_entry_test, "no field beside the known ones reaches ..." and "requests name ... by its name": with the code before, X-A arrived at two servers, a request for the odd name named w-1, and the servers with LF and NUL in their names got requests.

Change: an identity that is empty or would not arrive unchanged as a field's value (RFC 9110, 5.5: control characters, blanks at an end) makes the entry invalid. Fields that are passed on need no check: HttpMessagesTests shows that the parser rejects control characters in them.

--- a/modules/borageslip_traffic/http/HttpMessages.cpp
+++ b/modules/borageslip_traffic/http/HttpMessages.cpp
@@ -178,6 +178,14 @@
     return body;
 }
 
+bool isFieldValue(std::string_view text)
+{
+    const auto isBlank = [](char character) { return character == ' ' || character == '\t'; };
+    const auto isControl = [](char character) { return (static_cast<unsigned char>(character) < ' ' && character != '\t') || character == '\x7f'; };
+    const bool hasBlankEnd = !text.empty() && (isBlank(text.front()) || isBlank(text.back()));
+    return !hasBlankEnd && std::none_of(text.begin(), text.end(), isControl);
+}
+
 bool isHopByHopField(std::string_view name)
 {
     static constexpr std::array<std::string_view, 11> names { "connection", "content-length", "expect", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade" };
--- a/modules/borageslip_traffic/http/HttpMessages.h
+++ b/modules/borageslip_traffic/http/HttpMessages.h
@@ -101,6 +101,10 @@
     int m_interimResponses = 0;
 };
 
+/** Whether a text can be sent as the value of a header field and arrives unchanged: it has no control characters but tabs, and
+    no space or tab at either end (RFC 9110, 5.5). */
+bool isFieldValue(std::string_view text);
+
 /** Whether the header field is hop-by-hop or describes the framing, and is therefore not forwarded. */
 bool isHopByHopField(std::string_view name);
 
--- a/tests/borageslip_traffic/HttpMessagesTests.cpp
+++ b/tests/borageslip_traffic/HttpMessagesTests.cpp
@@ -290,3 +290,27 @@
     head.set("Keep-Alive", "timeout=soon");
     CHECK_FALSE(keepAliveTime(head));
 }
+
+// Guards against a text of others that ends a field of a request, or arrives as another one.
+TEST_CASE("only a text that arrives unchanged can be the value of a header field")
+{
+    for (const auto* text : { "", "w", "w-1", "a b", "a\tb", "\"a\\\"", "&+#%=?;:,", "\xc3\xa4" })
+        CHECK(isFieldValue(text));
+    const std::vector<std::string> others { " ", "a ", " a", "a\t", "\ta", "a\r\nX-A: b", "a\rb", "a\nb", "a\r", std::string("a\0b", 3), "a\x1f", "a\x7f" };
+    for (const auto& text : others)
+        CHECK_FALSE(isFieldValue(text));
+}
+
+TEST_CASE("a message with a control character in a field is malformed")
+{
+    for (const char character : { '\0', '\r', '\n', '\x1b', '\x7f' }) {
+        const auto field = std::string("X-A: b") + character + "c: d\r\n\r\n";
+        RequestReader request(4096, 4096);
+        auto requestBytes = "GET /a HTTP/1.1\r\nHost: h\r\n" + field;
+        ResponseReader response(ResponseReader::Body::Expected);
+        auto responseBytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + field;
+        INFO(static_cast<int>(character));
+        CHECK_FALSE(isOk(request.feed(requestBytes)));
+        CHECK_FALSE(isOk(response.feed(responseBytes)));
+    }
+}
--- a/tests/platform/PlatformDocumentsTests.cpp
+++ b/tests/platform/PlatformDocumentsTests.cpp
@@ -109,6 +109,19 @@
     }
 }
 
+// Guards against a name from the store that writes header fields of requests.
+TEST_CASE("an entry whose name cannot be the value of a header field is no backend server")
+{
+    for (const auto* name : { "w-1", "w 1", "w=1&x", "+", "#%41", "\"w\\", "w\xc3\xa4", "w\tb" }) {
+        const auto parsed = parseServerEntry(name, serverEntry().dump());
+        REQUIRE(isOk(parsed));
+        CHECK(value(parsed).id == name);
+    }
+    const std::vector<std::string> unusable { "", " ", "w ", " w", "\tw", "w\r\nX-A: b", "w\rX-A: b", "w\nb", "w\n", std::string("w\0b", 3), "w\x7f", "w\x1b[2J" };
+    for (const auto& name : unusable)
+        CHECK_FALSE(isOk(parseServerEntry(name, serverEntry().dump())));
+}
+
 // Guards against an evacuation by a malformed value, and against one at a deployment whose settings do not know of it.
 TEST_CASE("the documents of an evacuation are parsed, and evacuation is disabled without its setting", "[evacuation]")
 {
--- a/tests/platform/odd_entry_test.py
+++ b/tests/platform/odd_entry_test.py
@@ -7,13 +7,14 @@
 import asyncio
 import json
 import pathlib
+import re
 import sys
 import tempfile
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from entry_test import Entry, check, end_all, run_checks, start_all  # noqa: E402
-from platform_standin import BackendServer, Store, configuration, start_server  # noqa: E402
+from platform_standin import BackendServer, Store, configuration, response, start_server  # noqa: E402
 from restarted_source_test import StoreAccess  # noqa: E402
 
 WORKERS = ["w-0", "w-1", "w-1-2", "w-1B", "w-2", "w-3"]  # Some are listed between an unusual name and its decoded form.
@@ -85,6 +86,61 @@
         listener.close()
 
 
+class RecordingServer:
+    """Answers all requests, whichever server they are meant for, and keeps their heads as they arrived."""
+
+    def __init__(self, identity):
+        self.identity, self.heads = identity, []
+
+    async def listen(self):
+        _, self.address = await start_server(self.serve)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+                identity = re.search(rb"X-Request-Id: (\S+)", self.heads[-1])[1].decode()
+                writer.write(response(200, b"ran", [("X-Request-Id", identity), ("X-Response-Seal", "seal")]))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    def fields(self):
+        """Name and value of all fields that it has received."""
+        return [tuple(line.split(b": ", 1)) for head in self.heads for line in head.split(b"\r\n")[1:-2]]
+
+
+KNOWN_FIELDS = {b"Host", b"X-Request-Id", b"X-Deadline-Ms", b"X-Expect-Instance", b"X-Tenant"}
+
+
+async def check_header_fields(binary, folder):
+    """Guards against names from the store that write header fields of requests."""
+    servers = [RecordingServer(identity) for identity in WORKERS + ["w-1" + name for name in ODD_NAMES]]
+    store = Store()
+    store.put_json("op/config", configuration(7))
+    for server in servers:
+        await server.listen()
+        entry = BackendServer(server.identity)
+        entry.address = server.address
+        store.put_json(f"servers/{server.identity}", entry.entry("pool"))
+    _, store_address = await start_server(store.serve)
+    entry = Entry(binary, folder, store_address)
+    try:
+        await start_all([entry])
+        served = sum([await serve_count([entry], f"fields-{burst}") for burst in range(20)])
+        check("requests are served by the servers with usual names and others", served == 20 * REQUESTS, served)
+        for server in servers:
+            names = {field[0] for field in server.fields()}
+            expected = {field[1] for field in server.fields() if field[0] == b"X-Expect-Instance"}
+            label = f"{server.identity!a:.40}"
+            check(f"no field beside the known ones reaches {label}", names <= KNOWN_FIELDS, names - KNOWN_FIELDS)
+            check(f"requests name {label} by its name", expected <= {server.identity.encode()}, expected)
+        check("all workers get requests", all(server.heads for server in servers[: len(WORKERS)]))
+        reached = [server.identity for server in servers if server.heads and any(ord(character) < 32 and character != "\t" for character in server.identity)]
+        check("no server whose name has control characters gets a request", not reached, reached)
+    finally:
+        await end_all([entry])
+
+
 async def check_restart_of_all(store, entries):
     """Guards against the same when all processes are killed and started while such entries stand."""
     for entry in entries:
@@ -156,6 +212,7 @@
     with tempfile.TemporaryDirectory() as folder:
         await check_each_name(binary, folder, servers)
         await check_fleet(binary, folder, servers)
+        await check_header_fields(binary, folder)
 
 
 if __name__ == "__main__":
