A client account whose name cannot be sent in a header field is left out

The version and the other accounts hold: one name does not keep a configuration, and the keys that it takes out of force, from taking effect.

--- a/tests/platform/PlatformDocumentsTests.cpp
+++ b/tests/platform/PlatformDocumentsTests.cpp
@@ -122,6 +122,26 @@
         CHECK_FALSE(isOk(parseServerEntry(name, serverEntry().dump())));
 }
 
+// Guards against the same by the name of a client account, and against a configuration that one such name keeps out of force.
+TEST_CASE("a client account whose name cannot be the value of a header field is left out")
+{
+    initialiseLog(Severity::Error, "tests");
+    auto document = configurationDocument();
+    for (const auto* name : { "t\r\nX-A: b", "t\n", "\x01", " t" }) {
+        document["tenants"].push_back(document["tenants"][0]);
+        document["tenants"].back()["name"] = name;
+        document["tenants"].back()["api_keys"] = { std::string("key of ") + name };
+    }
+    const auto parsed = parseConfiguration(document.dump());
+    REQUIRE(isOk(parsed));
+    CHECK(value(parsed).keyCount() == 1);
+    CHECK(value(parsed).accountForKey("k")->name == "t");
+    document["tenants"].erase(0);
+    const auto withoutAccounts = parseConfiguration(document.dump());
+    REQUIRE(isOk(withoutAccounts));
+    CHECK(value(withoutAccounts).requiresKeys());
+}
+
 // Guards against an evacuation by a malformed value, and against one at a deployment whose settings do not know of it.
 TEST_CASE("the documents of an evacuation are parsed, and evacuation is disabled without its setting", "[evacuation]")
 {
--- a/tests/platform/odd_entry_test.py
+++ b/tests/platform/odd_entry_test.py
@@ -116,7 +116,8 @@
     """Guards against names from the store that write header fields of requests."""
     servers = [RecordingServer(identity) for identity in WORKERS + ["w-1" + name for name in ODD_NAMES]]
     store = Store()
-    store.put_json("op/config", configuration(7))
+    accounts = configuration(7)["tenants"] + [{"name": "account\r\nX-A: b", "api_keys": ["key-odd"]}]
+    store.put_json("op/config", configuration(7, tenants=accounts))
     for server in servers:
         await server.listen()
         entry = BackendServer(server.identity)
@@ -128,6 +129,8 @@
         await start_all([entry])
         served = sum([await serve_count([entry], f"fields-{burst}") for burst in range(20)])
         check("requests are served by the servers with usual names and others", served == 20 * REQUESTS, served)
+        odd = [await entry.ask("/read/a", key="key-odd", identity=f"odd-{number}") for number in range(4)]
+        check("an account whose name cannot be sent is refused", all(answer.status == 401 for answer in odd), odd[0])
         for server in servers:
             names = {field[0] for field in server.fields()}
             expected = {field[1] for field in server.fields() if field[0] == b"X-Expect-Instance"}
