A stream is not resumed after an event whose id cannot be sent in a header field

Evidence: odd_entry_test, "a stream with ids like ... is resumed only if that can be stated": with a CR or a NUL in the ids, the second server got them in the field before. Now the stream is not resumed, and the caller's connection is broken as for streams that may not be resumed. Ids without such characters are resumed as before.

--- a/modules/borageslip_traffic/engine/Exchange.cpp
+++ b/modules/borageslip_traffic/engine/Exchange.cpp
@@ -108,7 +108,8 @@
             continue;
         }
         ++m_context->sendCount;
-        if (result == detail::AttemptResult::Lost && (!m_context->route().mayRunAgain() || m_context->mayHaveCrashedServer))
+        const bool mayRepeat = m_context->route().mayRunAgain() && !m_context->mayHaveCrashedServer && m_context->canStateLastEvent();
+        if (result == detail::AttemptResult::Lost && !mayRepeat)
             break;
     }
     if (m_context->lastError.kind == ErrorKind::PromptQuarantined)
--- a/modules/borageslip_traffic/engine/ExchangeContext.h
+++ b/modules/borageslip_traffic/engine/ExchangeContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../http/HttpMessages.h"
 #include "ExchangeRecord.h"
 #include "OpenRequest.h"
 #include "ResponseSink.h"
@@ -57,6 +58,9 @@
     void countOutcome(uint64_t TrafficCounts::*);
     void recordWait(TimePoint since);
     bool tryAcquireRetry();
+    /** Whether another backend server can be told after which event a broken stream goes on. */
+    bool canStateLastEvent() const { return isFieldValue(events.lastEventId().value_or("")); }
+
     void logOutcome(Severity, std::string_view event, std::string_view outcome, std::string_view detail) const;
 
     TrafficEngine& engine;
--- a/tests/platform/odd_entry_test.py
+++ b/tests/platform/odd_entry_test.py
@@ -144,6 +144,26 @@
         await end_all([entry])
 
 
+async def check_event_ids(binary, folder):
+    """Guards against ids of events that write header fields of the request by which a stream is resumed."""
+    for event_id, may_resume in (("{}", True), ("{}\rX-A: b", False), ("{}\0", False)):
+        servers = [BackendServer(f"e-{number}") for number in range(2)]
+        for server in servers:
+            await server.listen()
+            server.event_id, server.behaviour = event_id, "breaks-stream"
+        store = make_store(servers)
+        _, store_address = await start_server(store.serve)
+        entry = Entry(binary, folder, store_address)
+        try:
+            await start_all([entry])
+            await entry.ask("/stream/a", identity="r-event")
+            runs = [headers for server in servers for _, headers, _ in server.runs]
+            ids = [headers.get("last-event-id") for headers in runs]
+            check(f"a stream with ids like {event_id!a} is resumed only if that can be stated", ids == ([None, "2"] if may_resume else [None]), ids)
+        finally:
+            await end_all([entry])
+
+
 async def check_restart_of_all(store, entries):
     """Guards against the same when all processes are killed and started while such entries stand."""
     for entry in entries:
@@ -216,6 +236,7 @@
         await check_each_name(binary, folder, servers)
         await check_fleet(binary, folder, servers)
         await check_header_fields(binary, folder)
+        await check_event_ids(binary, folder)
 
 
 if __name__ == "__main__":
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -250,6 +250,7 @@
         self.finished = 0
         self.finish_times = {}  # Time at which the whole response had been written, by request id.
         self.event_count = 5
+        self.event_id = "{}"  # With the number of the event.
         self.event_delay = 0.02
         self.work_time = 0  # Seconds; of requests without a stream.
         self.address = None
@@ -419,7 +420,7 @@
         writer.write(stream_head(own_headers, is_chunked=True))
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, self.event_count + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = f"id: {self.event_id.format(number)}\ndata: piece {number}\n\n".encode()
             if self.behaviour == "breaks-stream" and number == 3:
                 partial = event[:7]
                 writer.write(f"{len(partial):x}\r\n".encode() + partial + b"\r\n")
