An entry of a backend server that cannot be read costs only itself

A list of another type (null, an object) was taken for an empty one, after which all keys counted as removed.

Keys of operators and instances are read whole or not at all: to skip one would confirm a state that is not known. A list that is none is an error.

--- a/tests/platform/StoreClientTests.cpp
+++ b/tests/platform/StoreClientTests.cpp
@@ -147,6 +147,39 @@
     }
 }
 
+// Guards against one unreadable entry of another writer that costs all others.
+TEST_CASE("an entry of a backend server that cannot be read costs only itself")
+{
+    auto page = pageOf({ "op/config", "servers/a", "servers/b", "servers/c", "servers/d", "servers/e" }, false);
+    page["items"][1]["value"] = "%";
+    page["items"][2].erase("value");
+    page["items"][3]["revision"] = "5";
+    page["items"][4]["deleted"] = "no";
+    const PagedRead read(std::vector<nlohmann::json> { page });
+    REQUIRE(read.hasEnded);
+    REQUIRE(isOk(*read.result));
+    CHECK(read.keys == std::vector<std::string> { "op/config", "servers/a", "servers/b", "servers/c", "servers/d", "servers/e" });
+}
+
+// Guards against a revoked key that is accepted because what an operator has written cannot be read (CONFIG), and against a list
+// of another type that is taken for an empty one.
+TEST_CASE("a response whose list or whose other keys cannot be read is malformed as a whole")
+{
+    auto unreadableKey = pageOf({ "op/config", "servers/a" }, false);
+    unreadableKey["items"][0]["value"] = "%";
+    std::vector<nlohmann::json> pages { unreadableKey };
+    for (const auto& list : { nlohmann::json(), nlohmann::json::object(), nlohmann::json("a"), nlohmann::json(0) }) {
+        pages.push_back(pageOf({}, false));
+        pages.back()["items"] = list;
+    }
+    for (const auto& page : pages) {
+        const PagedRead read(std::vector<nlohmann::json> { page });
+        INFO(page.dump());
+        REQUIRE(read.hasEnded);
+        CHECK_FALSE(isOk(*read.result));
+    }
+}
+
 TEST_CASE("a read of all keys has all pages")
 {
     const PagedRead read(std::vector<nlohmann::json> { pageOf({ "a", "b" }, true), pageOf({ "c" }, true), pageOf({ "d", "e" }, false) });
