--- a/tests/platform/odd_entry_test.py
+++ b/tests/platform/odd_entry_test.py
@@ -197,6 +197,16 @@
     check("all keys are read again, not without a pause", 0 < reads <= MOST_READS * len(entries), reads)
 
 
+async def check_log(store, entries):
+    """Guards against a log that an entry fills which is written again and again."""
+    key = odd_key("&log")
+    for number in range(4):
+        store.put_json(key, {**FOREIGN, "jobs": number})
+        await asyncio.sleep(0.8)
+    counts = [sum(line["event"] == "server-entry-invalid" and line["key"] == key for line in entry.log_lines()) for entry in entries]
+    check("an entry that is no server is logged once with its name, however often it is written", counts == [1] * len(entries), counts)
+
+
 async def check_large_values(store, entries, access):
     """Guards against values that an instance asks of another one by their names and does not get."""
     access[entries[0]].cut()
@@ -222,6 +232,7 @@
     try:
         await start_all(entries)
         await asyncio.wait_for(check_lost_history(store, entries), 60)
+        await asyncio.wait_for(check_log(store, entries), 20)
         await asyncio.wait_for(check_large_values(store, entries, access), 40)
         await asyncio.wait_for(check_restart_of_all(store, entries), 90)
     finally:
