--- a/modules/borageslip_core/encoding/PercentEncoding.cpp
+++ b/modules/borageslip_core/encoding/PercentEncoding.cpp
@@ -17,7 +17,7 @@
 
 }
 
-// cpp-httplib has such functions, too, but no instance uses it otherwise, and loading it takes 0.2 MB of private memory.
+// Not by cpp-httplib, which the instances on the users' platform do not load otherwise: it would add to their memory.
 std::string percentEncode(std::string_view text)
 {
     constexpr std::string_view digits = "0123456789ABCDEF";
--- a/modules/borageslip_traffic/engine/ExchangeContext.h
+++ b/modules/borageslip_traffic/engine/ExchangeContext.h
@@ -58,6 +58,7 @@
     void countOutcome(uint64_t TrafficCounts::*);
     void recordWait(TimePoint since);
     bool tryAcquireRetry();
+
     /** Whether another backend server can be told after which event a broken stream goes on. */
     bool canStateLastEvent() const { return isFieldValue(events.lastEventId().value_or("")); }
 
