--- a/tests/platform/StoreCacheTests.cpp
+++ b/tests/platform/StoreCacheTests.cpp
@@ -290,7 +290,7 @@
         INFO(percentEncode(key));
         CHECK(std::ranges::count(keysAt(percentEncode(key)), key) == 1);
         // As instances of earlier releases send it, where that is a valid request.
-        const bool isSentUnencoded = std::ranges::all_of(key, [](char character) { return character > ' ' || character < 0; });
+        const bool isSentUnencoded = std::ranges::all_of(key, [](char character) { return static_cast<unsigned char>(character) > ' '; });
         if (isSentUnencoded)
             CHECK(std::ranges::count(keysAt(key), key) == 1);
     }
