--- a/tests/platform/StoreWatcherTests.cpp
+++ b/tests/platform/StoreWatcherTests.cpp
@@ -166,3 +166,15 @@
     CHECK(test.reader.store.count("kv-") <= 2);
     CHECK(test.store.store.count("kv-watch") == 1);
 }
+
+// Guards against an instance that waits for one source for ever, while another one answers.
+TEST_CASE("a source that has neither the changes nor all keys is passed over")
+{
+    WatcherCase test(WatcherCase::Sources::Reader);
+    test.watcher.start();
+    REQUIRE(test.hasValues(s_initial));
+    test.reader.set(1, 110, json::array());
+    test.reader.refusesRanges = true;
+    test.store.set(1, 110, json::array({ row("a", "1", 90) }));
+    CHECK(test.hasValues({ { "a", "1" } }));
+}
