--- a/tests/platform/StoreWatcherCase.h
+++ b/tests/platform/StoreWatcherCase.h
@@ -74,6 +74,7 @@
     bool changesEraBetweenPages = false;
     bool isFailing = false; ///< Answers 503.
     bool refusesRanges = false; ///< Answers 410 to reads of all keys.
+    std::string refusedPrefix; ///< Answers 400 to calls for this prefix, unless it is empty.
     json changes = json::array(); ///< Events that it still has of revisions before the present one.
     uint64_t heldAfter = 0; ///< The revision after which it states to hold all changes; 0 if it states none.
     int64_t ageMs = 0; ///< Of the keys, as the answers to watches state it.
@@ -98,6 +99,8 @@
             callHandler();
         if (isFailing)
             return { 503 };
+        if (!refusedPrefix.empty() && target.find("path_prefix=" + refusedPrefix) != std::string::npos)
+            return { 400 };
         const bool isRange = target.find("kv-range") != std::string::npos;
         if (isRange && refusesRanges)
             return { 410 };
--- a/tests/platform/StoreWatcherTests.cpp
+++ b/tests/platform/StoreWatcherTests.cpp
@@ -178,3 +178,38 @@
     test.store.set(1, 110, json::array({ row("a", "1", 90) }));
     CHECK(test.hasValues({ { "a", "1" } }));
 }
+
+// Guards against one large value that cannot be read and keeps all others from being confirmed.
+TEST_CASE("the value of a server's entry that no source returns costs only that entry")
+{
+    WatcherCase test(WatcherCase::Sources::Reader);
+    test.watcher.start();
+    REQUIRE(test.hasValues(s_initial));
+    for (auto* keys : { &test.store, &test.reader })
+        keys->refusedPrefix = "servers/x";
+    test.reader.set(1, 110, json::array());
+    test.reader.changes.push_back({ { "key", "servers/x" }, { "revision", 105 }, { "omitted", true }, { "digest", 1 } });
+    test.reader.changes.push_back({ { "key", "servers/y" }, { "revision", 106 }, { "omitted", true }, { "digest", 1 } });
+    test.reader.items.push_back(row("servers/y", "2", 106));
+    test.store.items.push_back(row("servers/y", "2", 106));
+    REQUIRE(runUntil(test.context, caseLimit, [&] { return test.watcher.cache().asOf() == 110; }));
+    CHECK(test.listener.values.at("servers/y") == "2");
+    CHECK(test.listener.values.at("servers/x").empty());
+}
+
+// Guards against a configuration that is taken for known although its value could not be read (CONFIG).
+TEST_CASE("an operator's value that no source returns is not confirmed")
+{
+    WatcherCase test(WatcherCase::Sources::Reader);
+    test.watcher.start();
+    REQUIRE(test.hasValues(s_initial));
+    for (auto* keys : { &test.store, &test.reader }) {
+        keys->refusedPrefix = "op/config";
+        keys->set(1, 110, json::array());
+        keys->changes.push_back({ { "key", "op/config" }, { "revision", 105 }, { "omitted", true }, { "digest", 1 } });
+    }
+    const auto confirmed = test.listener.synchronisations;
+    test.context.run_for(2s);
+    CHECK(test.watcher.cache().asOf() == 100);
+    CHECK(test.listener.synchronisations == confirmed);
+}
