An item of any writer that cannot be read costs only itself

The list of all keys has those of other writers, too, and of other instances; one such item made the page malformed.

Evidence: StoreClientTests, "an entry that cannot be read costs only itself", with a key other/d: fails on the code before.

--- a/tests/platform/StoreClientTests.cpp
+++ b/tests/platform/StoreClientTests.cpp
@@ -148,9 +148,10 @@
 }
 
 // Guards against one unreadable entry of another writer that costs all others.
-TEST_CASE("an entry of a backend server that cannot be read costs only itself")
+TEST_CASE("an entry that cannot be read costs only itself")
 {
-    auto page = pageOf({ "op/config", "servers/a", "servers/b", "servers/c", "servers/d", "servers/e" }, false);
+    const std::vector<std::string> keys { "op/config", "servers/a", "servers/b", "servers/c", "other/d", "servers/e" };
+    auto page = pageOf(keys, false);
     page["items"][1]["value"] = "%";
     page["items"][2].erase("value");
     page["items"][3]["revision"] = "5";
@@ -158,12 +159,12 @@
     const PagedRead read(std::vector<nlohmann::json> { page });
     REQUIRE(read.hasEnded);
     REQUIRE(isOk(*read.result));
-    CHECK(read.keys == std::vector<std::string> { "op/config", "servers/a", "servers/b", "servers/c", "servers/d", "servers/e" });
+    CHECK(read.keys == keys);
 }
 
 // Guards against a revoked key that is accepted because what an operator has written cannot be read (CONFIG), and against a list
 // of another type that is taken for an empty one.
-TEST_CASE("a response whose list or whose other keys cannot be read is malformed as a whole")
+TEST_CASE("a response whose list or whose operators' keys cannot be read is malformed as a whole")
 {
     auto unreadableKey = pageOf({ "op/config", "servers/a" }, false);
     unreadableKey["items"][0]["value"] = "%";
