A name that is not valid UTF-8 costs only its entry

One that is not UTF-8 makes its answer no JSON, so that no key of the page was read, at each start.

Evidence: StoreClientTests, "an entry whose name is not valid UTF-8 costs only itself": fails on the code before. No store has been seen to send such a name.

--- a/tests/platform/StoreClientTests.cpp
+++ b/tests/platform/StoreClientTests.cpp
@@ -102,14 +102,19 @@
 
 /** Reads all keys from a store that answers range calls with pages in turn, the last one again and again. */
 struct PagedRead {
-    explicit PagedRead(std::vector<nlohmann::json> pages)
+    explicit PagedRead(const std::vector<nlohmann::json>& pages)
+        : PagedRead(textsOf(pages))
+    {
+    }
+
+    explicit PagedRead(std::vector<std::string> pages)
     {
         size_t next = 0;
         asio::io_context context;
         ScriptedStore store(context, [&](const std::string&) {
             const auto& page = pages.at(std::min(next, pages.size() - 1));
             ++next;
-            return StatusResponse { 200, "application/json", page.dump() };
+            return StatusResponse { 200, "application/json", page };
         });
         StoreCallCounts counts;
         StoreClient client(context.get_executor(), store.endpoint(), counts);
@@ -121,6 +126,14 @@
         calls = store.count("kv-range");
     }
 
+    static std::vector<std::string> textsOf(const std::vector<nlohmann::json>& pages)
+    {
+        std::vector<std::string> texts;
+        for (const auto& page : pages)
+            texts.push_back(page.dump());
+        return texts;
+    }
+
     std::vector<std::string> keys;
     std::optional<Result<StorePage>> result;
     bool hasEnded = false;
@@ -162,6 +175,24 @@
     CHECK(read.keys == keys);
 }
 
+TEST_CASE("an entry whose name is not valid UTF-8 costs only itself")
+{
+    for (const auto* bytes : { "\xff", "\xe4", "\xc3", "\xed\xa0\x80" }) {
+        auto first = pageOf({ "servers/a", "servers/b?" }, true).dump();
+        first.replace(first.find('?'), 1, bytes);
+        const PagedRead read(std::vector<std::string> { first, pageOf({ "servers/c" }, false).dump() });
+        REQUIRE(read.hasEnded);
+        REQUIRE(isOk(*read.result));
+        REQUIRE(read.keys.size() == 3);
+        CHECK(read.keys[0] == "servers/a");
+        CHECK(read.keys[1].starts_with("servers/b\xef\xbf\xbd"));
+        CHECK(read.keys[2] == "servers/c");
+    }
+    const PagedRead malformed(std::vector<std::string> { "{\xff" });
+    REQUIRE(malformed.hasEnded);
+    CHECK_FALSE(isOk(*malformed.result));
+}
+
 // Guards against a revoked key that is accepted because what an operator has written cannot be read (CONFIG), and against a list
 // of another type that is taken for an empty one.
 TEST_CASE("a response whose list or whose operators' keys cannot be read is malformed as a whole")
