A watch that returns without a change is followed by a pause

A store that answers watches at once was asked as fast as the budget of calls allows.

Evidence: ConfigurationWatcherTests, "a watch that returns without a change is followed by a pause": 0 ms on the code before.

--- a/modules/borageslip_configuration/distribution/ConfigurationWatcher.cpp
+++ b/modules/borageslip_configuration/distribution/ConfigurationWatcher.cpp
@@ -139,7 +139,7 @@
     m_lastIndex = seen >= index ? seen : 0;
     if (m_lastIndex == 0)
         return idleInterval;
-    return seen == index ? std::chrono::milliseconds(0) : m_settings.coalesceDelay;
+    return m_settings.coalesceDelay;
 }
 
 std::vector<MemberId> ConfigurationWatcher::peersWithNewest() const
--- a/tests/borageslip_configuration/ConfigurationWatcherTests.cpp
+++ b/tests/borageslip_configuration/ConfigurationWatcherTests.cpp
@@ -134,3 +134,13 @@
     fixture.watcher.setRegionMembers({});
     CHECK(fixture.watcher.isWatching());
 }
+
+// Guards against a store that is asked without a pause because it answers watches at once, without a change.
+TEST_CASE("a watch that returns without a change is followed by a pause")
+{
+    Fixture fixture;
+    fixture.write(1);
+    fixture.watcher.watchStep();
+    CHECK(fixture.watcher.watchStep() > 0ms);
+    CHECK(fixture.log.revisions.size() == 1);
+}
