Client accounts that are left out are logged once and shown to operators

TrafficConfigurationBuilder leaves them out, so that the adapter decides nothing.

platform-status writes names with control characters as JSON strings: they wrote lines of their own.

Evidence: odd_entry_test, "the log names such accounts once", PlatformDocumentsTests.

--- a/apps/borageslip/PlatformCommand.cpp
+++ b/apps/borageslip/PlatformCommand.cpp
@@ -26,6 +26,12 @@
         std::string failure {}; ///< Empty if the metrics could be read.
     };
 
+    /** A name from the store as it is, or as a JSON string if it has control characters, which would write lines of their own. */
+    std::string printable(const std::string& name)
+    {
+        return isFieldValue(name) ? name : nlohmann::json(name).dump();
+    }
+
     /** Finds the value of a metric without labels in the Prometheus text format. */
     std::optional<double> findMetric(const std::string& text, const std::string& name)
     {
@@ -163,6 +169,9 @@
             text << overview.configuration->keyCount() << " keys\n";
         else
             text << "no key needed\n";
+        status.json["unusable_accounts"] = overview.configuration->unusableAccounts();
+        for (const auto& name : overview.configuration->unusableAccounts())
+            text << "unusable  client account " << printable(name) << ": the name cannot be the value of a header field\n";
     } else {
         status.json["version"] = nullptr;
         text << "the store holds no valid configuration\n";
@@ -173,7 +182,7 @@
     status.json["unusable"] = nlohmann::json::array();
     for (const auto& entry : overview.invalidEntries) {
         status.json["unusable"].push_back({ { "key", entry.key }, { "problem", entry.problem } });
-        text << "unusable  " << entry.key << ": " << entry.problem << '\n';
+        text << "unusable  " << printable(entry.key) << ": " << entry.problem << '\n';
     }
     status.text = text.str();
     if (status.text.ends_with('\n'))
--- a/modules/borageslip_traffic/configuration/TrafficConfiguration.cpp
+++ b/modules/borageslip_traffic/configuration/TrafficConfiguration.cpp
@@ -1,5 +1,7 @@
 #include "TrafficConfiguration.h"
 
+#include "../http/HttpMessages.h"
+
 #include <algorithm>
 
 namespace borageslip {
@@ -69,6 +71,10 @@
 TrafficConfigurationBuilder& TrafficConfigurationBuilder::addAccount(TrafficAccount account, std::span<const std::string> keys)
 {
     requireKeys();
+    if (!isFieldValue(account.name)) {
+        m_configuration.m_unusableAccounts.push_back(std::move(account.name));
+        return *this;
+    }
     for (const auto& key : keys) {
         if (!m_configuration.m_accountByKey.emplace(key, m_configuration.m_accounts.size()).second)
             m_error = Error { ErrorKind::InvalidMessage, "client account \"" + account.name + "\" has a key that is already assigned" };
--- a/modules/borageslip_traffic/configuration/TrafficConfiguration.h
+++ b/modules/borageslip_traffic/configuration/TrafficConfiguration.h
@@ -64,6 +64,9 @@
         client accounts, also where the list is empty and no key is valid. */
     bool requiresKeys() const { return m_requiresKeys; }
 
+    /** Names of the client accounts that were left out because the name cannot be the value of a header field. */
+    std::span<const std::string> unusableAccounts() const { return m_unusableAccounts; }
+
     std::span<const Route> routes() const { return m_routes; }
     size_t keyCount() const { return m_accountByKey.size(); }
 
@@ -78,6 +81,7 @@
     std::set<std::string, std::less<>> m_prefixServices;
     bool m_requiresKeys = false;
     std::vector<TrafficAccount> m_accounts;
+    std::vector<std::string> m_unusableAccounts;
     std::map<std::string, size_t, std::less<>> m_accountByKey;
 };
 
@@ -92,7 +96,8 @@
     /** States that there is a list of client accounts, which may be empty. */
     TrafficConfigurationBuilder& requireKeys();
 
-    /** Also requires keys. */
+    /** Also requires keys. An account whose name cannot be sent to a backend server is left out, so that its keys are
+        unknown. */
     TrafficConfigurationBuilder& addAccount(TrafficAccount, std::span<const std::string> keys);
 
     /** Errors: InvalidMessage for a route without a service or with an unknown one, a path prefix that does not start
--- a/tests/platform/PlatformDocumentsTests.cpp
+++ b/tests/platform/PlatformDocumentsTests.cpp
@@ -135,6 +135,8 @@
     const auto parsed = parseConfiguration(document.dump());
     REQUIRE(isOk(parsed));
     CHECK(value(parsed).keyCount() == 1);
+    CHECK(value(parsed).unusableAccounts().size() == 4);
+    CHECK(value(parsed).unusableAccounts()[0] == "t\r\nX-A: b");
     CHECK(value(parsed).accountForKey("k")->name == "t");
     document["tenants"].erase(0);
     const auto withoutAccounts = parseConfiguration(document.dump());
--- a/tests/platform/odd_entry_test.py
+++ b/tests/platform/odd_entry_test.py
@@ -130,6 +130,10 @@
         served = sum([await serve_count([entry], f"fields-{burst}") for burst in range(20)])
         check("requests are served by the servers with usual names and others", served == 20 * REQUESTS, served)
         odd = [await entry.ask("/read/a", key="key-odd", identity=f"odd-{number}") for number in range(4)]
+        store.put_json("op/config", configuration(8, tenants=accounts))
+        await asyncio.sleep(1)
+        lines = [line for line in entry.log_lines() if line["event"] == "accounts-left-out"]
+        check("the log names such accounts once", len(lines) == 1 and r"account\r\nX-A: b" in lines[0]["detail"], lines)
         check("an account whose name cannot be sent is refused", all(answer.status == 401 for answer in odd), odd[0])
         for server in servers:
             names = {field[0] for field in server.fields()}
