--- a/tests/platform/StoreClientTests.cpp
+++ b/tests/platform/StoreClientTests.cpp
@@ -128,9 +128,8 @@
 
     static std::vector<std::string> textsOf(const std::vector<nlohmann::json>& pages)
     {
-        std::vector<std::string> texts;
-        for (const auto& page : pages)
-            texts.push_back(page.dump());
+        std::vector<std::string> texts(pages.size());
+        std::ranges::transform(pages, texts.begin(), [](const nlohmann::json& page) { return page.dump(); });
         return texts;
     }
 
